--- a/bench/bench_router.cc
+++ b/bench/bench_router.cc
@@ -4,8 +4,8 @@
 #include <filesystem>
 #include <fstream>
 
+#include "camphorsail/base/monotonic_clock.h"
 #include "camphorsail/entry/sha256.h"
-#include "camphorsail/http/monotonic_clock.h"
 
 namespace camphorsail {
 namespace {
--- a/bench/stream_client.cc
+++ b/bench/stream_client.cc
@@ -12,7 +12,7 @@
 #include <cstdio>
 
 #include "absl/strings/str_cat.h"
-#include "camphorsail/http/monotonic_clock.h"
+#include "camphorsail/base/monotonic_clock.h"
 
 namespace camphorsail {
 namespace {
--- a/camphorsail/admin/admin_state.cc
+++ b/camphorsail/admin/admin_state.cc
@@ -7,7 +7,7 @@
 #include "camphorsail/accounting/refused_minutes_report.h"
 #include "camphorsail/admin/admin_api.h"
 #include "camphorsail/admin/admin_request.h"
-#include "camphorsail/http/monotonic_clock.h"
+#include "camphorsail/base/monotonic_clock.h"
 #include "camphorsail/settings/settings_store.h"
 #include "camphorsail/timeline/timeline_codec.h"
 
--- a/camphorsail/consensus/replica.cc
+++ b/camphorsail/consensus/replica.cc
@@ -26,7 +26,9 @@
       // A fresh replica has granted nothing before. A restarted one has
       // forgotten its grants, so that it waits until all have expired.
       grantor_(settings_.lease_length,
-               fresh ? now : now + settings_.lease_length),
+               fresh || !settings_.admission_lease
+                   ? now
+                   : now + settings_.lease_length),
       holder_(settings_, id, session_) {
   if (log_.snapshot() != nullptr) {
     commit_ = log_.snapshot()->last.index;
@@ -34,6 +36,7 @@
   commit_ = std::max(commit_, std::min(committed, log_.last().index));
   written_ = log_.last().index;
   synced_ = written_;
+  leader_heard_ = now;
   ResetElectionDeadline();
 }
 
--- a/camphorsail/consensus/replica_impl.h
+++ b/camphorsail/consensus/replica_impl.h
@@ -154,6 +154,16 @@
   void JoinTick();
   void TryFirstStart();
   void MembershipTick();
+  /// @return The removal of a replica whose VM runs a newer one.
+  std::optional<Membership> WithoutReplaced(const Membership& current) const;
+  /// @return The promotion of a learner that is ready to vote.
+  std::optional<Membership> WithPromoted(const Membership& current) const;
+  /// @return With `target_voters`, the removal of a silent voter whose place a
+  ///     learner can take, or of a learner that is gone.
+  std::optional<Membership> WithoutSilent(const Membership& current) const;
+  bool IsCaughtUp(const Member& member) const;
+  /// @return Time since the member was last heard by this leader.
+  absl::Duration Silence(const Member& member) const;
   /// Appends the changed membership when that is possible now.
   Expected<void> ChangeMembership(Membership changed);
   bool IsActive(const Member& member) const;
@@ -233,6 +243,10 @@
   Snapshot incoming_;
 
   MonoTime next_join_;
+  /// When a leader was last heard from.
+  MonoTime leader_heard_;
+  /// Leader that a join reply named.
+  VmId leader_hint_;
   std::map<VmId, FirstStartAnswer> first_start_answers_;
   std::map<VmId, JoinCandidate> join_candidates_;
 
--- a/camphorsail/consensus/replica_lease.cc
+++ b/camphorsail/consensus/replica_lease.cc
@@ -14,6 +14,9 @@
 }  // namespace
 
 void Replica::Impl::LeaseTick() {
+  if (!settings_.admission_lease) {
+    return;
+  }
   std::vector<ReplicaMessage> messages;
   holder_.Tick(now_, &messages);
   RouteLeaseMessages(std::move(messages));
--- a/camphorsail/consensus/replica_membership.cc
+++ b/camphorsail/consensus/replica_membership.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <optional>
+#include <set>
 #include <utility>
 
 #include "camphorsail/consensus/replica_impl.h"
@@ -10,28 +12,57 @@
 /// Answers that are older do not count for a first start, and join requests
 /// that are older are dropped.
 constexpr absl::Duration kJoinValidity = absl::Seconds(1);
+/// A voter without a leader for this long asks to join too, because the group
+/// may have replaced it.
+constexpr absl::Duration kOrphanedAfter = absl::Seconds(3);
 
 Member* FindMember(Membership* membership, ReplicaId replica) {
   return const_cast<Member*>(membership->Find(replica));
 }
 
+Membership Without(const Membership& current, ReplicaId replica) {
+  Membership changed = current;
+  std::erase_if(changed.members,
+                [&](const Member& m) { return m.replica == replica; });
+  changed.removed_is_expired = true;
+  return changed;
+}
+
 }  // namespace
 
 void Replica::Impl::JoinTick() {
+  if (HeardFromLeader()) {
+    leader_heard_ = now_;
+    return;
+  }
   // A learner's addition may be lost with the leader that proposed it, so that
-  // it asks again when no leader sends to it. A voter waits.
-  if (IsElectable() || HeardFromLeader() || now_ < next_join_) {
+  // it asks again when no leader sends to it. A voter waits, unless it may have
+  // been replaced.
+  const bool orphaned =
+      settings_.target_voters > 0 && now_ - leader_heard_ >= kOrphanedAfter;
+  if ((IsElectable() && !orphaned) || now_ < next_join_) {
     return;
   }
   next_join_ = now_ + kJoinInterval;
   const Member self{id_, settings_.vm, settings_.failure_domain,
                     MemberKind::kLearner};
-  for (const VmId& vm : settings_.voter_vms) {
-    if (vm != settings_.vm) {
-      SendNow(MakeMessage(vm, ReplicaId(), JoinRequest{session_, self}));
+  std::set<VmId> contacts(settings_.voter_vms.begin(),
+                          settings_.voter_vms.end());
+  if (settings_.target_voters > 0) {
+    for (const Member& member : log_.LatestMembership().members) {
+      contacts.insert(member.vm);
+    }
+    if (!leader_hint_.value().empty()) {
+      contacts.insert(leader_hint_);
     }
   }
-  TryFirstStart();
+  contacts.erase(settings_.vm);
+  for (const VmId& vm : contacts) {
+    SendNow(MakeMessage(vm, ReplicaId(), JoinRequest{session_, self}));
+  }
+  if (settings_.may_found_group) {
+    TryFirstStart();
+  }
 }
 
 void Replica::Impl::TryFirstStart() {
@@ -87,6 +118,7 @@
   if (reply.session == session_ && reply.member.vm == message.from_vm) {
     first_start_answers_[message.from_vm] = {reply.member, message.term,
                                              reply.has_log, now_};
+    leader_hint_ = reply.leader_vm;
   }
 }
 
@@ -100,6 +132,9 @@
 }
 
 bool Replica::Impl::HasRunForALease(const Member& member) const {
+  if (!settings_.admission_lease) {
+    return true;
+  }
   if (member.replica == id_) {
     return now_ - leader_since_ >= settings_.lease_length;
   }
@@ -108,53 +143,95 @@
          now_ - *found->second.first_contact >= settings_.lease_length;
 }
 
-void Replica::Impl::MembershipTick() {
-  std::erase_if(join_candidates_, [&](const auto& item) {
-    return now_ - item.second.received > kJoinValidity;
-  });
-  Membership current = log_.LatestMembership();
-  current.removed_is_expired = false;
-  const auto caught_up = [&](const Member& member) {
-    return member.replica == id_ ||
-           (IsActive(member) && progress_.at(member.replica).stored >= commit_);
-  };
+bool Replica::Impl::IsCaughtUp(const Member& member) const {
+  return member.replica == id_ ||
+         (IsActive(member) && progress_.at(member.replica).stored >= commit_);
+}
+
+absl::Duration Replica::Impl::Silence(const Member& member) const {
+  const auto found = progress_.find(member.replica);
+  if (member.replica == id_ || found == progress_.end()) {
+    return absl::ZeroDuration();
+  }
+  return now_ - std::max(found->second.last_contact, leader_since_);
+}
+
+std::optional<Membership> Replica::Impl::WithoutReplaced(
+    const Membership& current) const {
+  // Of several replicas of one VM only the latest runs.
   const auto is_replaced = [&](const Member& member) {
-    // Of several replicas of one VM only the latest runs.
     return !IsActive(member) &&
            std::any_of(current.members.begin(), current.members.end(),
                        [&](const Member& m) {
-                         return m.vm == member.vm && caught_up(m) &&
+                         return m.vm == member.vm && IsCaughtUp(m) &&
                                 HasRunForALease(m);
                        });
   };
-  // The old replica is removed before the new one becomes a voter: with both as
-  // voters, a second loss of the same VM would leave two dead voters.
   for (const Member& member : current.members) {
-    if (!is_replaced(member)) {
-      continue;
-    }
-    Membership changed = current;
-    std::erase_if(changed.members,
-                  [&](const Member& m) { return m.replica == member.replica; });
-    changed.removed_is_expired = true;
-    if (ChangeMembership(std::move(changed)).has_value()) {
-      return;
+    if (is_replaced(member)) {
+      return Without(current, member.replica);
     }
   }
+  return std::nullopt;
+}
+
+std::optional<Membership> Replica::Impl::WithPromoted(
+    const Membership& current) const {
   for (const Member& member : current.members) {
     const bool is_voter_vm =
-        std::find(settings_.voter_vms.begin(), settings_.voter_vms.end(),
-                  member.vm) != settings_.voter_vms.end();
+        settings_.target_voters > 0
+            ? current.VoterCount() < settings_.target_voters
+            : std::find(settings_.voter_vms.begin(), settings_.voter_vms.end(),
+                        member.vm) != settings_.voter_vms.end();
     const bool has_voter = std::any_of(
         current.members.begin(), current.members.end(), [&](const Member& m) {
           return m.vm == member.vm && m.kind == MemberKind::kVoter;
         });
-    if (!is_voter_vm || has_voter || !caught_up(member)) {
-      continue;
+    if (is_voter_vm && !has_voter && IsCaughtUp(member)) {
+      Membership changed = current;
+      FindMember(&changed, member.replica)->kind = MemberKind::kVoter;
+      return changed;
     }
-    Membership changed = current;
-    FindMember(&changed, member.replica)->kind = MemberKind::kVoter;
-    if (ChangeMembership(std::move(changed)).has_value()) {
+  }
+  return std::nullopt;
+}
+
+std::optional<Membership> Replica::Impl::WithoutSilent(
+    const Membership& current) const {
+  if (settings_.target_voters == 0) {
+    return std::nullopt;
+  }
+  const bool has_ready_learner = std::any_of(
+      current.members.begin(), current.members.end(), [&](const Member& m) {
+        return m.kind == MemberKind::kLearner && IsCaughtUp(m) &&
+               HasRunForALease(m);
+      });
+  for (const Member& member : current.members) {
+    const bool is_voter = member.kind == MemberKind::kVoter;
+    const absl::Duration limit = is_voter ? settings_.replace_voter_after
+                                          : settings_.forget_learner_after;
+    if ((!is_voter || has_ready_learner) && Silence(member) >= limit) {
+      Membership changed = Without(current, member.replica);
+      // Leases were granted by the removed voter's process, which may go on.
+      changed.removed_is_expired = !settings_.admission_lease;
+      return changed;
+    }
+  }
+  return std::nullopt;
+}
+
+void Replica::Impl::MembershipTick() {
+  std::erase_if(join_candidates_, [&](const auto& item) {
+    return now_ - item.second.received > kJoinValidity;
+  });
+  Membership current = log_.LatestMembership();
+  current.removed_is_expired = false;
+  // The old replica is removed before the new one becomes a voter: with both as
+  // voters, a second loss of the same VM would leave two dead voters.
+  for (const std::optional<Membership>& changed :
+       {WithoutReplaced(current), WithPromoted(current),
+        WithoutSilent(current)}) {
+    if (changed.has_value() && ChangeMembership(*changed).has_value()) {
       return;
     }
   }
--- a/camphorsail/consensus/replica_settings.h
+++ b/camphorsail/consensus/replica_settings.h
@@ -18,6 +18,20 @@
   /// VMs whose replicas are voters. They take part in the first start, a fresh
   /// replica asks them to join, and a replica of any other VM stays a learner.
   std::vector<VmId> voter_vms;
+  /// False on a VM that may only join a group: its disk may be new while the
+  /// group that it belongs to runs elsewhere.
+  bool may_found_group = true;
+  /// Voters that the leader keeps, from whichever VMs have joined; zero when
+  /// the voters are the replicas of `voter_vms`.
+  size_t target_voters = 0;
+  /// With `target_voters`, a voter that was silent for this long is replaced
+  /// when a learner is ready to take its place.
+  absl::Duration replace_voter_after = absl::Seconds(3);
+  /// With `target_voters`, a learner that was silent for this long is removed.
+  absl::Duration forget_learner_after = absl::Seconds(30);
+  /// False where no replica admits requests: leases are neither asked for nor
+  /// waited for.
+  bool admission_lease = true;
   absl::Duration heartbeat_interval = absl::Milliseconds(150);
   /// A follower starts an election after one to two times this without a
   /// leader; a leader without a quorum steps down after it.
--- a/camphorsail/control/command.h
+++ b/camphorsail/control/command.h
@@ -14,6 +14,7 @@
 #include "camphorsail/ledger/ledger_types.h"
 #include "camphorsail/membership/vm_registration.h"
 #include "camphorsail/orders/order_types.h"
+#include "camphorsail/routing/routing_table.h"
 #include "camphorsail/settings/settings_change.h"
 
 namespace camphorsail {
@@ -34,7 +35,8 @@
                                  VmRegistration,
                                  DesiredEngine,
                                  OrderIntent,
-                                 OrderObservation>;
+                                 OrderObservation,
+                                 RoutingTable>;
 
 /// One entry of the replicated log.
 struct Command {
--- a/camphorsail/control/control_action.h
+++ b/camphorsail/control/control_action.h
@@ -18,6 +18,7 @@
 #include "camphorsail/control/control_snapshot.h"
 #include "camphorsail/limits/limit_types.h"
 #include "camphorsail/orders/order_types.h"
+#include "camphorsail/routing/routing_table.h"
 
 namespace camphorsail {
 
@@ -95,6 +96,11 @@
   MonoTime report_sent_at;
 };
 
+/// The gateways must follow this table from now on.
+struct PublishRoutingAction {
+  Ref<SharedRoutingTable> table;
+};
+
 /// Something worth a log line and a timeline event.
 struct ControlNoteAction {
   std::string kind;
@@ -111,7 +117,8 @@
                                    LeaveCompletedAction,
                                    EngineCallAction,
                                    ControlNoteAction,
-                                   PublishLimitsAction>;
+                                   PublishLimitsAction,
+                                   PublishRoutingAction>;
 
 }  // namespace camphorsail
 
--- a/camphorsail/control/control_node.cc
+++ b/camphorsail/control/control_node.cc
@@ -560,6 +560,10 @@
     limits_.SetSettings(*snapshot);
     actions->push_back(PublishSettingsAction{std::move(snapshot)});
   }
+  if (state_.routing() != published_routing_) {
+    published_routing_ = state_.routing();
+    actions->push_back(PublishRoutingAction{published_routing_});
+  }
   UpdateRegistered();
   MonoTime lease;
   if (IsCoveredByRecord() && !leave_deadline_.has_value()) {
--- a/camphorsail/control/control_node.h
+++ b/camphorsail/control/control_node.h
@@ -182,6 +182,7 @@
 
   bool settings_changed_ = true;
   MonoTime published_lease_;
+  Ref<SharedRoutingTable> published_routing_;
 
   uint64_t next_token_;
   std::map<uint64_t, Submission> submissions_;
--- a/camphorsail/control/control_state.cc
+++ b/camphorsail/control/control_state.cc
@@ -20,8 +20,10 @@
 namespace camphorsail {
 namespace {
 
-constexpr uint32_t kFormat = 1;
-constexpr uint32_t kSnapshotParts = 9;
+constexpr uint32_t kFormat = 2;
+constexpr uint32_t kSnapshotParts = 10;
+/// The format before there were routing tables.
+constexpr uint32_t kFormatWithoutRouting = 1;
 
 template <typename T>
 T RestorePart(const msgpack::object& object) {
@@ -50,6 +52,7 @@
   MinuteMarks marks;
   VmDirectory vms;
   OrderBook orders;
+  Ref<SharedRoutingTable> routing = MakeRef<SharedRoutingTable>(RoutingTable());
 
   /// Applies one command's body; `wall_micros` is the proposer's clock.
   void Apply(const SettingsChange& change,
@@ -64,6 +67,9 @@
   void Apply(const VmRegistration& registration,
              int64_t wall_micros,
              CommandResult* result);
+  void Apply(const RoutingTable& table,
+             int64_t wall_micros,
+             CommandResult* result);
   template <typename T>
   void Apply(const T& order, int64_t wall_micros, CommandResult* result);
 
@@ -124,6 +130,17 @@
   }
 }
 
+void ControlState::Parts::Apply(const RoutingTable& table,
+                                int64_t /*wall_micros*/,
+                                CommandResult* result) {
+  // A table that is not newer changes nothing. That is no error, because a
+  // resent change must be acknowledged again.
+  if (table.version > routing->table.version) {
+    routing = MakeRef<SharedRoutingTable>(table);
+  }
+  result->settings_version = SettingsVersion(routing->table.version);
+}
+
 template <typename T>
 void ControlState::Parts::Apply(const T& order,
                                 int64_t /*wall_micros*/,
@@ -173,6 +190,7 @@
   PackBytes(&packer, parts_->marks.Snapshot());
   PackBytes(&packer, parts_->vms.Snapshot());
   PackBytes(&packer, parts_->orders.Snapshot());
+  packer.pack(parts_->routing->table);
   return std::string(buffer.data(), buffer.size());
 }
 
@@ -180,7 +198,10 @@
   try {
     const msgpack::object_handle handle = UnpackBounded(snapshot_bytes);
     const auto parts = handle.get().as<std::vector<msgpack::object>>();
-    if (parts.size() != kSnapshotParts || parts[0].as<uint32_t>() != kFormat) {
+    const bool has_routing =
+        parts.size() == kSnapshotParts && parts[0].as<uint32_t>() == kFormat;
+    if (!has_routing && (parts.size() != kSnapshotParts - 1 ||
+                         parts[0].as<uint32_t>() != kFormatWithoutRouting)) {
       return Fail(ErrorKind::kDataCorrupt, "unknown control state format");
     }
     ControlState state;
@@ -192,6 +213,10 @@
     state.parts_->marks = RestorePart<MinuteMarks>(parts[6]);
     state.parts_->vms = RestorePart<VmDirectory>(parts[7]);
     state.parts_->orders = RestorePart<OrderBook>(parts[8]);
+    if (has_routing) {
+      state.parts_->routing =
+          MakeRef<SharedRoutingTable>(parts[9].as<RoutingTable>());
+    }
     return state;
   } catch (const std::exception& e) {
     return Fail(ErrorKind::kDataCorrupt,
@@ -260,4 +285,8 @@
   return parts_->orders;
 }
 
+const Ref<SharedRoutingTable>& ControlState::routing() const {
+  return parts_->routing;
+}
+
 }  // namespace camphorsail
--- a/camphorsail/control/control_state.h
+++ b/camphorsail/control/control_state.h
@@ -14,6 +14,7 @@
 #include "camphorsail/control/command.h"
 #include "camphorsail/control/command_result.h"
 #include "camphorsail/control/control_snapshot.h"
+#include "camphorsail/routing/routing_table.h"
 
 namespace camphorsail {
 
@@ -71,6 +72,8 @@
   const MinuteMarks& minute_marks() const;
   const VmDirectory& vms() const;
   const OrderBook& orders() const;
+  /// @return The routing table in force; version zero before the first.
+  const Ref<SharedRoutingTable>& routing() const;
 
  private:
   struct Parts;
--- a/camphorsail/entry/error_answer.cc
+++ b/camphorsail/entry/error_answer.cc
@@ -8,13 +8,17 @@
 namespace camphorsail {
 
 std::string ErrorAnswerBody(const Error& error, RequestId request) {
+  return ErrorAnswerBody(error, FormatRequestId(request));
+}
+
+std::string ErrorAnswerBody(const Error& error, const std::string& request_id) {
   const ErrorTraits& traits = GetErrorTraits(error.kind);
   nlohmann::ordered_json body;
   body["error"]["code"] = std::string(traits.code);
   body["error"]["message"] = error.message;
   body["error"]["request_was_run"] =
       std::string(ToString(traits.request_was_run));
-  body["error"]["request_id"] = FormatRequestId(request);
+  body["error"]["request_id"] = request_id;
   // Messages may quote bytes of the caller that are not UTF-8.
   return body.dump(-1, ' ', false,
                    nlohmann::ordered_json::error_handler_t::replace);
--- a/camphorsail/entry/error_answer.h
+++ b/camphorsail/entry/error_answer.h
@@ -14,6 +14,9 @@
 /// @return The JSON body of the error answer.
 std::string ErrorAnswerBody(const Error& error, RequestId request);
 
+/// @param request_id As the caller wrote it.
+std::string ErrorAnswerBody(const Error& error, const std::string& request_id);
+
 /// @return The value of `Retry-After` in whole seconds, at least 1; zero when a
 ///     retry does not help.
 int RetryAfterSeconds(const Error& error);
--- /dev/null
+++ b/camphorsail/gateway/attempt_health.cc
@@ -0,0 +1,69 @@
+#include "camphorsail/gateway/attempt_health.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace camphorsail {
+namespace {
+
+/// Weight of the latest attempt in the smoothed figures.
+constexpr double kNewWeight = 0.2;
+/// A judgement loses half of its weight in this time.
+constexpr double kHalfLifeSeconds = 3;
+/// Failures in a row after which a server is left alone for a while.
+constexpr int kMaxFailures = 4;
+constexpr absl::Duration kFirstPause = absl::Milliseconds(500);
+constexpr absl::Duration kLongestPause = absl::Seconds(4);
+
+double Decay(MonoTime since, MonoTime now) {
+  return std::exp2(-absl::ToDoubleSeconds(now - since) / kHalfLifeSeconds);
+}
+
+}  // namespace
+
+void AttemptHealth::OnSuccess(MonoTime now) {
+  failure_rate_ = FailureRate(now) * (1 - kNewWeight);
+  judged_at_ = now;
+  consecutive_failures_ = 0;
+  closures_ = 0;
+  closed_until_ = MonoTime();
+}
+
+void AttemptHealth::OnFailure(MonoTime now) {
+  failure_rate_ = FailureRate(now) * (1 - kNewWeight) + kNewWeight;
+  judged_at_ = now;
+  if (++consecutive_failures_ >= kMaxFailures) {
+    Close(now);
+  }
+}
+
+void AttemptHealth::OnUnreachable(MonoTime now) {
+  OnFailure(now);
+  Close(now);
+}
+
+void AttemptHealth::Close(MonoTime now) {
+  if (now < closed_until_) {
+    // Further attempts of before the closure.
+    return;
+  }
+  const absl::Duration pause =
+      std::min(kFirstPause * std::exp2(closures_), kLongestPause);
+  closed_until_ = now + pause;
+  ++closures_;
+}
+
+void AttemptHealth::OnTime(double ratio, MonoTime now) {
+  slowdown_ = Slowdown(now) * (1 - kNewWeight) + ratio * kNewWeight;
+  timed_at_ = now;
+}
+
+double AttemptHealth::FailureRate(MonoTime now) const {
+  return failure_rate_ * Decay(judged_at_, now);
+}
+
+double AttemptHealth::Slowdown(MonoTime now) const {
+  return 1 + (slowdown_ - 1) * Decay(timed_at_, now);
+}
+
+}  // namespace camphorsail
--- /dev/null
+++ b/camphorsail/gateway/backend_connection.cc
@@ -0,0 +1,338 @@
+#include "camphorsail/gateway/backend_connection.h"
+
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+#include "camphorsail/net/tcp_socket.h"
+
+namespace camphorsail {
+namespace {
+
+/// A server whose VM or path is gone is noticed within this time.
+constexpr absl::Duration kSilenceLimit = absl::Seconds(3);
+constexpr size_t kReadBytes = 16 * 1024;
+
+/// @return Seconds of `timeout=N` in a `Keep-Alive` header.
+absl::Duration ParseKeepAlive(const std::string& value) {
+  for (const absl::string_view part : absl::StrSplit(value, ',')) {
+    const std::pair<absl::string_view, absl::string_view> item = absl::StrSplit(
+        absl::StripAsciiWhitespace(part), absl::MaxSplits('=', 1));
+    int seconds = 0;
+    if (absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(item.first),
+                               "timeout") &&
+        absl::SimpleAtoi(item.second, &seconds) && seconds >= 0) {
+      return absl::Seconds(seconds);
+    }
+  }
+  return absl::InfiniteDuration();
+}
+
+BackendConnection* Self(http_parser* parser) {
+  return static_cast<BackendConnection*>(parser->data);
+}
+
+}  // namespace
+
+BackendConnection::BackendConnection(const std::string& source_ip,
+                                     const NetworkAddress& address,
+                                     absl::Duration connect_timeout,
+                                     EventLoop* loop,
+                                     const Owner* owner)
+    : loop_(loop), owner_(owner) {
+  const Expected<int> fd = ConnectTcp(source_ip, address);
+  if (!fd) {
+    // Reported to the first request in a later turn, like any other failure.
+    connect_timer_ = loop_->At(loop_->now(),
+                               [this] { Fail(BackendFailure::kNotConnected); });
+    return;
+  }
+  fd_ = *fd;
+  DetectSilence(fd_, kSilenceLimit);
+  watched_events_ = EPOLLIN | EPOLLOUT | EPOLLRDHUP;
+  watch_ = loop_->Watch(fd_, watched_events_,
+                        [this](uint32_t events) { OnEvents(events); });
+  connect_timer_ = loop_->At(loop_->now() + connect_timeout,
+                             [this] { Fail(BackendFailure::kNotConnected); });
+}
+
+BackendConnection::~BackendConnection() {
+  loop_->Cancel(connect_timer_);
+  if (fd_ >= 0) {
+    loop_->Unwatch(watch_);
+    close(fd_);
+  }
+}
+
+const http_parser_settings& BackendConnection::ParserSettings() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings value;
+    http_parser_settings_init(&value);
+    value.on_header_field = &OnField;
+    value.on_header_value = &OnValue;
+    value.on_headers_complete = &OnHeadersComplete;
+    value.on_body = &OnBody;
+    value.on_message_complete = &OnMessageComplete;
+    return value;
+  }();
+  return settings;
+}
+
+int BackendConnection::OnField(http_parser* parser,
+                               const char* data,
+                               size_t size) {
+  Self(parser)->collector_.OnField(data, size);
+  return 0;
+}
+
+int BackendConnection::OnValue(http_parser* parser,
+                               const char* data,
+                               size_t size) {
+  Self(parser)->collector_.OnValue(data, size);
+  return 0;
+}
+
+int BackendConnection::OnHeadersComplete(http_parser* parser) {
+  BackendConnection* self = Self(parser);
+  HttpResponseHead head;
+  head.status = parser->status_code;
+  head.headers = self->collector_.Take();
+  if (head.status < 200) {
+    // An interim answer; upgrades are never asked for.
+    return head.status == 101 ? -1 : 0;
+  }
+  const size_t framings = head.headers.Count("content-length") +
+                          head.headers.Count("transfer-encoding");
+  if (framings > 1 || !AreHeadersClean(head.headers)) {
+    return -1;
+  }
+  if (const std::string* value = head.headers.Find("keep-alive")) {
+    self->keep_alive_ = ParseKeepAlive(*value);
+  }
+  self->head_taken_ = true;
+  // The callback may end the connection, which only this flag survives.
+  if (!self->handlers_.on_head(std::move(head))) {
+    return -1;
+  }
+  return self->is_head_ ? 1 : 0;
+}
+
+int BackendConnection::OnBody(http_parser* parser,
+                              const char* data,
+                              size_t size) {
+  BackendConnection* self = Self(parser);
+  if (self->head_taken_ && self->busy_) {
+    self->handlers_.on_data({data, size});
+  }
+  return self->busy_ ? 0 : -1;
+}
+
+int BackendConnection::OnMessageComplete(http_parser* parser) {
+  BackendConnection* self = Self(parser);
+  if (!self->head_taken_) {
+    // An interim answer; the final one follows.
+    return 0;
+  }
+  self->message_complete_ = true;
+  self->reusable_ = http_should_keep_alive(parser) != 0;
+  http_parser_pause(parser, 1);
+  return 0;
+}
+
+void BackendConnection::Start(std::string request,
+                              bool is_head,
+                              BackendHandlers handlers) {
+  busy_ = true;
+  handlers_ = std::move(handlers);
+  out_ = std::move(request);
+  out_offset_ = 0;
+  sent_ = false;
+  is_head_ = is_head;
+  paused_ = false;
+  head_taken_ = false;
+  message_complete_ = false;
+  reusable_ = false;
+  http_parser_init(&parser_, HTTP_RESPONSE);
+  parser_.data = this;
+  collector_ = HeaderCollector();
+  if (!connecting_) {
+    Write();
+  }
+}
+
+void BackendConnection::OnEvents(uint32_t events) {
+  if (connecting_) {
+    if ((events & (EPOLLOUT | EPOLLERR | EPOLLHUP)) == 0) {
+      return;
+    }
+    OnConnected();
+    return;
+  }
+  if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLERR | EPOLLHUP)) != 0 &&
+      (!paused_ || (events & (EPOLLERR | EPOLLHUP)) != 0)) {
+    Read();
+  }
+  if (fd_ >= 0 && (events & EPOLLOUT) != 0) {
+    Write();
+  }
+}
+
+void BackendConnection::OnConnected() {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
+  if (error != 0) {
+    Fail(BackendFailure::kNotConnected);
+    return;
+  }
+  connecting_ = false;
+  loop_->Cancel(connect_timer_);
+  Write();
+}
+
+void BackendConnection::Write() {
+  while (fd_ >= 0 && out_offset_ < out_.size()) {
+    const ssize_t size = send(fd_, out_.data() + out_offset_,
+                              out_.size() - out_offset_, MSG_NOSIGNAL);
+    if (size < 0 && errno == EINTR) {
+      continue;
+    }
+    if (size < 0 && errno == EAGAIN) {
+      break;
+    }
+    // An answer may have come before the reset; it is read first.
+    sent_ = true;
+    if (size < 0) {
+      out_offset_ = out_.size();
+      Read();
+      return;
+    }
+    out_offset_ += static_cast<size_t>(size);
+  }
+  UpdateWatch();
+}
+
+void BackendConnection::Read() {
+  std::array<char, kReadBytes> buffer;
+  while (fd_ >= 0 && !paused_) {
+    const ssize_t size = recv(fd_, buffer.data(), buffer.size(), 0);
+    if (size < 0 && errno == EINTR) {
+      continue;
+    }
+    if (size < 0 && errno == EAGAIN) {
+      return;
+    }
+    if (!busy_) {
+      // The server closed an idle connection, or sent what nobody asked for.
+      Close();
+      return;
+    }
+    if (size < 0) {
+      Fail(BackendFailure::kBroken);
+      return;
+    }
+    if (size == 0) {
+      // Ends an answer without a length; any other is incomplete.
+      http_parser_execute(&parser_, &ParserSettings(), nullptr, 0);
+      if (busy_ && message_complete_) {
+        reusable_ = false;
+        Finish();
+      } else if (fd_ >= 0) {
+        Fail(BackendFailure::kBroken);
+      }
+      return;
+    }
+    Parse(buffer.data(), static_cast<size_t>(size));
+    if (static_cast<size_t>(size) < buffer.size()) {
+      return;
+    }
+  }
+}
+
+void BackendConnection::Parse(const char* data, size_t size) {
+  const size_t parsed =
+      http_parser_execute(&parser_, &ParserSettings(), data, size);
+  if (!busy_ || fd_ < 0) {
+    // Cancelled by a handler.
+    return;
+  }
+  if (message_complete_) {
+    if (parsed < size || out_offset_ < out_.size()) {
+      reusable_ = false;
+    }
+    Finish();
+    return;
+  }
+  if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parser_.upgrade != 0) {
+    Fail(BackendFailure::kProtocol);
+  }
+}
+
+void BackendConnection::Finish() {
+  busy_ = false;
+  const BackendHandlers handlers = std::exchange(handlers_, {});
+  if (!reusable_) {
+    Close();
+  } else {
+    idle_since_ = loop_->now();
+    paused_ = false;
+    UpdateWatch();
+    owner_->on_idle(this);
+  }
+  handlers.on_end();
+}
+
+void BackendConnection::Fail(BackendFailure failure) {
+  const bool was_busy = std::exchange(busy_, false);
+  const BackendHandlers handlers = std::exchange(handlers_, {});
+  const bool sent = sent_;
+  Close();
+  if (was_busy) {
+    handlers.on_failure(failure, sent);
+  }
+}
+
+void BackendConnection::Cancel() {
+  busy_ = false;
+  Close();
+}
+
+void BackendConnection::SetPaused(bool paused) {
+  if (paused_ == paused || fd_ < 0 || !busy_) {
+    return;
+  }
+  paused_ = paused;
+  UpdateWatch();
+}
+
+void BackendConnection::UpdateWatch() {
+  if (fd_ < 0) {
+    return;
+  }
+  uint32_t events = paused_ ? 0U : EPOLLIN | EPOLLRDHUP;
+  if (connecting_ || out_offset_ < out_.size()) {
+    events |= EPOLLOUT;
+  }
+  if (events != watched_events_) {
+    watched_events_ = events;
+    loop_->Change(watch_, events);
+  }
+}
+
+void BackendConnection::Close() {
+  loop_->Cancel(connect_timer_);
+  if (fd_ >= 0) {
+    loop_->Unwatch(watch_);
+    close(std::exchange(fd_, -1));
+  }
+  owner_->on_closed(this);
+}
+
+}  // namespace camphorsail
--- /dev/null
+++ b/camphorsail/gateway/backend_connection.h
@@ -0,0 +1,100 @@
+#ifndef CAMPHORSAIL_GATEWAY_BACKEND_CONNECTION_H_
+#define CAMPHORSAIL_GATEWAY_BACKEND_CONNECTION_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "absl/time/time.h"
+#include "camphorsail/base/mono_time.h"
+#include "camphorsail/base/network_address.h"
+#include "camphorsail/gateway/backend_handlers.h"
+#include "camphorsail/gateway/http_parse.h"
+#include "camphorsail/net/event_loop.h"
+
+namespace camphorsail {
+
+/// One HTTP/1.1 connection to a backend server, which carries one request at a
+/// time. Never sends a request a second time. A byte that no request asked for
+/// ends the connection. Owned by a `BackendPool`; belongs to the loop's thread.
+class BackendConnection {
+ public:
+  /// Told when the connection is free for another request, or is closed.
+  struct Owner {
+    std::function<void(BackendConnection*)> on_idle;
+    std::function<void(BackendConnection*)> on_closed;
+  };
+
+  /// Starts to connect.
+  /// @param owner Outlives the connection.
+  BackendConnection(const std::string& source_ip,
+                    const NetworkAddress& address,
+                    absl::Duration connect_timeout,
+                    EventLoop* loop,
+                    const Owner* owner);
+  ~BackendConnection();
+  BackendConnection(const BackendConnection&) = delete;
+  BackendConnection& operator=(const BackendConnection&) = delete;
+
+  /// Sends a request; the connection must be new or idle.
+  /// @param is_head True when the answer has no body whatever its headers say.
+  void Start(std::string request, bool is_head, BackendHandlers handlers);
+  /// Ends the request in progress and the connection; no handler is called.
+  void Cancel();
+  /// Stops and resumes reading, for a caller that reads slowly.
+  void SetPaused(bool paused);
+
+  bool is_closed() const { return fd_ < 0; }
+  /// @return When the connection became idle.
+  MonoTime idle_since() const { return idle_since_; }
+  /// @return How long the server keeps an idle connection open; infinite when
+  /// it does not say.
+  absl::Duration keep_alive() const { return keep_alive_; }
+
+ private:
+  static const http_parser_settings& ParserSettings();
+  static int OnField(http_parser* parser, const char* data, size_t size);
+  static int OnValue(http_parser* parser, const char* data, size_t size);
+  static int OnHeadersComplete(http_parser* parser);
+  static int OnBody(http_parser* parser, const char* data, size_t size);
+  static int OnMessageComplete(http_parser* parser);
+
+  void OnEvents(uint32_t events);
+  void OnConnected();
+  void Read();
+  void Parse(const char* data, size_t size);
+  void Write();
+  void UpdateWatch();
+  void Finish();
+  void Fail(BackendFailure failure);
+  void Close();
+
+  int fd_ = -1;
+  EventLoop* const loop_;
+  const Owner* const owner_;
+  EventLoop::WatchId watch_ = 0;
+  uint32_t watched_events_ = 0;
+  EventLoop::TimerId connect_timer_;
+  bool connecting_ = true;
+
+  bool busy_ = false;
+  BackendHandlers handlers_;
+  std::string out_;
+  size_t out_offset_ = 0;
+  bool sent_ = false;
+  bool is_head_ = false;
+  bool paused_ = false;
+
+  http_parser parser_;
+  HeaderCollector collector_;
+  /// A final answer's head was accepted.
+  bool head_taken_ = false;
+  bool message_complete_ = false;
+  bool reusable_ = false;
+  MonoTime idle_since_;
+  absl::Duration keep_alive_ = absl::InfiniteDuration();
+};
+
+}  // namespace camphorsail
+
+#endif  // CAMPHORSAIL_GATEWAY_BACKEND_CONNECTION_H_
--- /dev/null
+++ b/camphorsail/gateway/backend_fleet.cc
@@ -0,0 +1,93 @@
+#include "camphorsail/gateway/backend_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "camphorsail/process/log_event.h"
+
+namespace camphorsail {
+
+void BackendFleet::Apply(const ServerRegistry::Changes& changes,
+                         const ServerRegistry& registry) {
+  for (const BackendServerId& id : changes.removed) {
+    Remove(id);
+  }
+  for (const ServerView& view : changes.views) {
+    if (const ServerEntry* entry = registry.Find(view.server)) {
+      Add(view, entry->announcement);
+    }
+  }
+}
+
+const BackendFleet::Servers& BackendFleet::ServersOf(
+    const ModelId& service) const {
+  static const Servers* const none = new Servers;
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? *none : found->second;
+}
+
+void BackendFleet::Add(const ServerView& view,
+                       const ServerAnnouncement& announcement) {
+  const Expected<NetworkAddress> address =
+      ParseNetworkAddress(announcement.description.address);
+  if (!address || view.targets.empty()) {
+    LogEvent("server_unusable", LogLevel::kWarning)
+        .Add("server", view.server)
+        .Add("address", announcement.description.address);
+    return;
+  }
+  const auto known = servers_.find(view.server);
+  if (known != servers_.end()) {
+    BackendServer& server = *known->second;
+    if (server.incarnation == view.incarnation && server.address == *address &&
+        server.service == view.targets.front()) {
+      server.slots = std::max(1, view.capacity);
+      return;
+    }
+    Remove(view.server);
+  }
+  Ref<BackendServer>& holder = by_address_[announcement.description.address];
+  if (holder) {
+    if (holder->incarnation > view.incarnation) {
+      // A late announcement of a server that another one has replaced.
+      LogEvent("server_superseded")
+          .Add("server", view.server)
+          .Add("by", holder->id);
+      return;
+    }
+    Remove(BackendServerId(holder->id));
+  }
+  auto server = MakeRef<BackendServer>();
+  server->id = view.server;
+  server->incarnation = view.incarnation;
+  server->address = *address;
+  server->failure_domain = view.failure_domain;
+  server->service = view.targets.front();
+  server->slots = std::max(1, view.capacity);
+  servers_[view.server] = server;
+  by_address_[announcement.description.address] = server;
+  by_service_[server->service].push_back(server);
+  LogEvent("server_available")
+      .Add("server", view.server)
+      .Add("service", server->service)
+      .Add("address", announcement.description.address)
+      .Add("failure_domain", server->failure_domain);
+}
+
+void BackendFleet::Remove(const BackendServerId& id) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) {
+    return;
+  }
+  const Ref<BackendServer> server = std::move(found->second);
+  servers_.erase(found);
+  server->available = false;
+  std::erase(by_service_[server->service], server);
+  const auto holder = by_address_.find(ToString(server->address));
+  if (holder != by_address_.end() && holder->second == server) {
+    by_address_.erase(holder);
+  }
+  LogEvent("server_unavailable").Add("server", id);
+}
+
+}  // namespace camphorsail
--- /dev/null
+++ b/camphorsail/gateway/backend_server.cc
@@ -0,0 +1,60 @@
+#include "camphorsail/gateway/backend_server.h"
+
+#include <algorithm>
+
+namespace camphorsail {
+namespace {
+
+/// After this time a report says nothing about the load of other gateways.
+constexpr double kReportLifetimeSeconds = 2;
+
+}  // namespace
+
+void BackendServer::OnDispatch(absl::Duration prefill,
+                               bool is_quick,
+                               MonoTime now) {
+  ++in_flight_;
+  quick_streams_ += is_quick ? 1 : 0;
+  if (unread_prompts_ <= absl::ZeroDuration()) {
+    reading_since_ = now;
+  }
+  unread_prompts_ += prefill;
+}
+
+void BackendServer::OnPromptDone(absl::Duration prefill, MonoTime now) {
+  unread_prompts_ = std::max(absl::ZeroDuration(), unread_prompts_ - prefill);
+  reading_since_ = now;
+}
+
+void BackendServer::OnFinished(bool is_quick, MonoTime /*now*/) {
+  --in_flight_;
+  quick_streams_ -= is_quick ? 1 : 0;
+}
+
+void BackendServer::OnReport(const ReportedLoad& load, MonoTime now) {
+  report_ = load;
+  reported_at_ = now;
+  own_at_report_ = in_flight_;
+}
+
+double BackendServer::ReportWeight(MonoTime now) const {
+  const double age = absl::ToDoubleSeconds(now - reported_at_);
+  return std::max(0.0, 1 - age / kReportLifetimeSeconds);
+}
+
+double BackendServer::OthersLoad(MonoTime now) const {
+  const int others = report_.running + report_.waiting - own_at_report_;
+  return std::max(0, others) * ReportWeight(now);
+}
+
+double BackendServer::Waiting(MonoTime now) const {
+  return report_.waiting * ReportWeight(now);
+}
+
+absl::Duration BackendServer::PromptBacklog(MonoTime now) const {
+  // The engine has been reading since the last prompt was done.
+  return std::max(absl::ZeroDuration(),
+                  unread_prompts_ - (now - reading_since_));
+}
+
+}  // namespace camphorsail
--- /dev/null
+++ b/camphorsail/gateway/backend_server.h
@@ -0,0 +1,75 @@
+#ifndef CAMPHORSAIL_GATEWAY_BACKEND_SERVER_H_
+#define CAMPHORSAIL_GATEWAY_BACKEND_SERVER_H_
+
+#include <cstdint>
+
+#include "absl/time/time.h"
+#include "camphorsail/base/ids.h"
+#include "camphorsail/base/mono_time.h"
+#include "camphorsail/base/network_address.h"
+#include "camphorsail/base/ref.h"
+#include "camphorsail/gateway/attempt_health.h"
+#include "camphorsail/gateway/prefix_memory.h"
+#include "camphorsail/gateway/server_reply.h"
+
+namespace camphorsail {
+
+/// What a gateway knows of one incarnation of a backend server: its own
+/// requests there exactly, the other gateways' from the load that answers
+/// report. Held by `BackendFleet` and by its requests; belongs to the loop's
+/// thread.
+class BackendServer : public RefCounted<BackendServer> {
+ public:
+  BackendServerId id;
+  Incarnation incarnation;
+  NetworkAddress address;
+  FailureDomainId failure_domain;
+  ModelId service;
+  /// Requests that it runs at the same time.
+  int slots = 1;
+  /// False once it is leaving, silent or replaced at its address.
+  bool available = true;
+  AttemptHealth health;
+  /// Prompt prefixes that it has probably cached.
+  PrefixMemory prefixes;
+
+  /// @param prefill Expected time to read the request's prompt; zero for calls.
+  /// @param is_quick True for a stream whose events must not pause for long.
+  void OnDispatch(absl::Duration prefill, bool is_quick, MonoTime now);
+  /// The request's prompt was read, or its attempt has ended before that.
+  void OnPromptDone(absl::Duration prefill, MonoTime now);
+  void OnFinished(bool is_quick, MonoTime now);
+  void OnReport(const ReportedLoad& load, MonoTime now);
+
+  /// @return This gateway's requests there.
+  int in_flight() const { return in_flight_; }
+  /// @return This gateway's quick streams there.
+  int quick_streams() const { return quick_streams_; }
+  /// @return Requests there, as far as known.
+  double Load(MonoTime now) const { return in_flight_ + OthersLoad(now); }
+  /// @return Requests of the other gateways there.
+  double OthersLoad(MonoTime now) const;
+  /// @return Requests that waited there for a slot at the last report.
+  double Waiting(MonoTime now) const;
+  /// @return Time until the engine has read the prompts that this gateway has
+  /// sent it.
+  absl::Duration PromptBacklog(MonoTime now) const;
+
+ private:
+  /// @return Weight of the last report, which falls with its age.
+  double ReportWeight(MonoTime now) const;
+
+  int in_flight_ = 0;
+  int quick_streams_ = 0;
+  ReportedLoad report_;
+  MonoTime reported_at_;
+  int own_at_report_ = 0;
+  /// Prompts sent whose first token has not come, and when the engine began to
+  /// read the first of them.
+  absl::Duration unread_prompts_;
+  MonoTime reading_since_;
+};
+
+}  // namespace camphorsail
+
+#endif  // CAMPHORSAIL_GATEWAY_BACKEND_SERVER_H_
--- /dev/null
+++ b/camphorsail/gateway/caller_connection.cc
@@ -0,0 +1,486 @@
+#include "camphorsail/gateway/caller_connection.h"
+
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "camphorsail/net/tcp_socket.h"
+
+namespace camphorsail {
+namespace {
+
+/// A caller whose VM or path is gone is noticed within this time.
+constexpr absl::Duration kSilenceLimit = absl::Seconds(4);
+/// Longest wait for a caller to read the last answer of a connection.
+constexpr absl::Duration kLingerTime = absl::Seconds(1);
+constexpr size_t kReadBytes = 16 * 1024;
+/// A request that is refused for its size is read and dropped up to this.
+constexpr size_t kMaxInputBytes = 64 * 1024;
+
+std::string_view ReasonPhrase(int status) {
+  switch (status) {
+#define CAMPHORSAIL_REASON(number, name, text) \
+  case number:                                 \
+    return #text;
+    HTTP_STATUS_MAP(CAMPHORSAIL_REASON)
+#undef CAMPHORSAIL_REASON
+    default:
+      return "Unknown";
+  }
+}
+
+CallerConnection* Self(http_parser* parser) {
+  return static_cast<CallerConnection*>(parser->data);
+}
+
+}  // namespace
+
+CallerConnection::CallerConnection(int fd,
+                                   EventLoop* loop,
+                                   const CallerLimits& limits,
+                                   const CallerHandlers* handlers)
+    : fd_(fd),
+      loop_(loop),
+      limits_(limits),
+      handlers_(handlers),
+      state_since_(loop->now()),
+      heard_at_(loop->now()) {
+  http_parser_init(&parser_, HTTP_REQUEST);
+  parser_.data = this;
+  DetectSilence(fd_, kSilenceLimit);
+  watched_events_ = EPOLLIN | EPOLLRDHUP;
+  watch_ = loop_->Watch(fd_, watched_events_,
+                        [this](uint32_t events) { OnEvents(events); });
+}
+
+CallerConnection::~CallerConnection() {
+  if (fd_ >= 0) {
+    loop_->Unwatch(watch_);
+    close(fd_);
+  }
+}
+
+const http_parser_settings& CallerConnection::ParserSettings() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings value;
+    http_parser_settings_init(&value);
+    value.on_message_begin = &OnMessageBegin;
+    value.on_url = &OnUrl;
+    value.on_header_field = &OnField;
+    value.on_header_value = &OnValue;
+    value.on_headers_complete = &OnHeadersComplete;
+    value.on_body = &OnBody;
+    value.on_message_complete = &OnMessageComplete;
+    return value;
+  }();
+  return settings;
+}
+
+int CallerConnection::OnMessageBegin(http_parser* parser) {
+  CallerConnection* self = Self(parser);
+  self->head_ = HttpRequestHead();
+  self->body_.clear();
+  self->rejected_ = false;
+  self->head_complete_ = false;
+  self->message_complete_ = false;
+  return 0;
+}
+
+int CallerConnection::OnUrl(http_parser* parser,
+                            const char* data,
+                            size_t size) {
+  Self(parser)->head_.target.append(data, size);
+  return 0;
+}
+
+int CallerConnection::OnField(http_parser* parser,
+                              const char* data,
+                              size_t size) {
+  Self(parser)->collector_.OnField(data, size);
+  return 0;
+}
+
+int CallerConnection::OnValue(http_parser* parser,
+                              const char* data,
+                              size_t size) {
+  Self(parser)->collector_.OnValue(data, size);
+  return 0;
+}
+
+int CallerConnection::OnHeadersComplete(http_parser* parser) {
+  CallerConnection* self = Self(parser);
+  HttpRequestHead& head = self->head_;
+  const size_t bytes = self->collector_.bytes() + head.target.size();
+  head.headers = self->collector_.Take();
+  head.method = http_method_str(static_cast<http_method>(parser->method));
+  head.minor_version = parser->http_minor;
+  head.keep_alive = http_should_keep_alive(parser) != 0;
+  self->head_complete_ = true;
+  // An upgrade is not offered; the rest is read as an ordinary request.
+  parser->upgrade = 0;
+  const auto reject = [&](ErrorKind kind) {
+    self->rejected_ = true;
+    self->rejection_ = kind;
+    return -1;
+  };
+  if (static_cast<int64_t>(bytes) > self->limits_.max_header_bytes) {
+    return reject(ErrorKind::kHeadersTooLarge);
+  }
+  // Another reader of ambiguous framing could see a second request in the body.
+  const std::string* encoding = head.headers.Find("transfer-encoding");
+  const bool ambiguous =
+      head.headers.Count("content-length") +
+              head.headers.Count("transfer-encoding") >
+          1 ||
+      (encoding != nullptr && !absl::EqualsIgnoreCase(*encoding, "chunked"));
+  if (ambiguous || parser->method == HTTP_CONNECT || parser->http_major != 1 ||
+      head.headers.Count("host") != 1 || !AreHeadersClean(head.headers)) {
+    return reject(ErrorKind::kInvalidRequest);
+  }
+  if (const std::string* length = head.headers.Find("content-length")) {
+    int64_t value = 0;
+    if (!absl::SimpleAtoi(*length, &value) ||
+        !std::all_of(length->begin(), length->end(),
+                     [](char c) { return c >= '0' && c <= '9'; })) {
+      return reject(ErrorKind::kInvalidRequest);
+    }
+    if (value > self->limits_.max_body_bytes) {
+      return reject(ErrorKind::kBodyTooLarge);
+    }
+  }
+  return 0;
+}
+
+int CallerConnection::OnBody(http_parser* parser,
+                             const char* data,
+                             size_t size) {
+  CallerConnection* self = Self(parser);
+  if (static_cast<int64_t>(self->body_.size() + size) >
+      self->limits_.max_body_bytes) {
+    self->rejected_ = true;
+    self->rejection_ = ErrorKind::kBodyTooLarge;
+    return -1;
+  }
+  self->body_.append(data, size);
+  return 0;
+}
+
+int CallerConnection::OnMessageComplete(http_parser* parser) {
+  Self(parser)->message_complete_ = true;
+  // The next request is parsed once this one is answered.
+  http_parser_pause(parser, 1);
+  return 0;
+}
+
+void CallerConnection::OnEvents(uint32_t events) {
+  if ((events & EPOLLOUT) != 0) {
+    Write();
+    if (fd_ < 0) {
+      return;
+    }
+  }
+  const bool hung_up = (events & (EPOLLHUP | EPOLLERR | EPOLLRDHUP)) != 0;
+  if (state_ == State::kAnswering) {
+    if (hung_up) {
+      // A caller that closes its side no longer waits for the answer.
+      handlers_->on_gone(this);
+      if (fd_ >= 0) {
+        Close();
+      }
+    }
+    return;
+  }
+  if ((events & EPOLLIN) != 0 || hung_up) {
+    Read();
+  }
+}
+
+void CallerConnection::Read() {
+  std::array<char, kReadBytes> buffer;
+  while (fd_ >= 0) {
+    const ssize_t size = recv(fd_, buffer.data(), buffer.size(), 0);
+    if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
+      return;
+    }
+    if (size <= 0) {
+      Close();
+      return;
+    }
+    heard_at_ = loop_->now();
+    if (state_ == State::kLingering) {
+      continue;
+    }
+    in_.append(buffer.data(), static_cast<size_t>(size));
+    ParseInput();
+    if (state_ == State::kAnswering) {
+      return;
+    }
+    if (static_cast<size_t>(size) < buffer.size()) {
+      return;
+    }
+  }
+}
+
+void CallerConnection::ParseInput() {
+  if (in_.empty() || state_ == State::kAnswering ||
+      state_ == State::kLingering) {
+    return;
+  }
+  if (state_ == State::kIdle) {
+    state_ = State::kReading;
+    state_since_ = loop_->now();
+  }
+  const size_t parsed =
+      http_parser_execute(&parser_, &ParserSettings(), in_.data(), in_.size());
+  const http_errno error = HTTP_PARSER_ERRNO(&parser_);
+  if (message_complete_ && !rejected_) {
+    http_parser_pause(&parser_, 0);
+    in_.erase(0, parsed);
+    message_complete_ = false;
+    state_ = State::kAnswering;
+    state_since_ = loop_->now();
+    answer_complete_ = false;
+    request_keep_alive_ = head_.keep_alive;
+    is_head_request_ = head_.method == "HEAD";
+    takes_chunks_ = head_.minor_version >= 1;
+    chunked_ = false;
+    UpdateWatch();
+    handlers_->on_request(this, std::move(head_), std::move(body_));
+    return;
+  }
+  if (error != HPE_OK) {
+    Reject(rejected_ ? rejection_ : ErrorKind::kInvalidRequest);
+    return;
+  }
+  in_.clear();
+  if (!head_complete_ &&
+      static_cast<int64_t>(collector_.bytes() + head_.target.size()) >
+          limits_.max_header_bytes + static_cast<int64_t>(kReadBytes)) {
+    Reject(ErrorKind::kHeadersTooLarge);
+  }
+}
+
+void CallerConnection::Reject(ErrorKind kind) {
+  in_.clear();
+  state_ = State::kAnswering;
+  answer_complete_ = false;
+  request_keep_alive_ = false;
+  chunked_ = false;
+  is_head_request_ = false;
+  handlers_->on_bad_request(this, kind);
+}
+
+void CallerConnection::SendWhole(int status,
+                                 const HttpHeaders& headers,
+                                 std::string_view body) {
+  if (fd_ < 0 || state_ != State::kAnswering) {
+    return;
+  }
+  const bool keep = keep_alive_ && request_keep_alive_;
+  absl::StrAppend(&out_, "HTTP/1.1 ", status, " ",
+                  absl::string_view(ReasonPhrase(status).data(),
+                                    ReasonPhrase(status).size()),
+                  "\r\n");
+  headers.AppendTo(&out_);
+  if (status != 204 && status != 304 && status >= 200) {
+    absl::StrAppend(&out_, "Content-Length: ", body.size(), "\r\n");
+  }
+  out_.append(keep ? "\r\n" : "Connection: close\r\n\r\n");
+  if (!is_head_request_) {
+    out_.append(body);
+  }
+  request_keep_alive_ = keep;
+  FinishAnswer();
+}
+
+void CallerConnection::SendHead(int status, const HttpHeaders& headers) {
+  if (fd_ < 0 || state_ != State::kAnswering) {
+    return;
+  }
+  chunked_ = takes_chunks_;
+  const bool keep = keep_alive_ && request_keep_alive_ && chunked_;
+  request_keep_alive_ = keep;
+  absl::StrAppend(&out_, "HTTP/1.1 ", status, " ",
+                  absl::string_view(ReasonPhrase(status).data(),
+                                    ReasonPhrase(status).size()),
+                  "\r\n");
+  headers.AppendTo(&out_);
+  if (chunked_) {
+    out_.append("Transfer-Encoding: chunked\r\n");
+  }
+  out_.append(keep ? "\r\n" : "Connection: close\r\n\r\n");
+}
+
+void CallerConnection::SendData(std::string_view data) {
+  if (fd_ < 0 || state_ != State::kAnswering || data.empty()) {
+    return;
+  }
+  if (chunked_) {
+    absl::StrAppend(&out_, absl::Hex(data.size()), "\r\n");
+  }
+  out_.append(data);
+  if (chunked_) {
+    out_.append("\r\n");
+  }
+  Write();
+}
+
+void CallerConnection::SendEnd() {
+  if (fd_ < 0 || state_ != State::kAnswering) {
+    return;
+  }
+  if (chunked_) {
+    out_.append("0\r\n\r\n");
+  }
+  FinishAnswer();
+}
+
+void CallerConnection::FinishAnswer() {
+  answer_complete_ = true;
+  Write();
+}
+
+void CallerConnection::Write() {
+  while (fd_ >= 0 && out_offset_ < out_.size()) {
+    const ssize_t size = send(fd_, out_.data() + out_offset_,
+                              out_.size() - out_offset_, MSG_NOSIGNAL);
+    if (size < 0 && errno == EINTR) {
+      continue;
+    }
+    if (size < 0 && errno == EAGAIN) {
+      UpdateWatch();
+      return;
+    }
+    if (size < 0) {
+      if (state_ == State::kAnswering && !answer_complete_) {
+        handlers_->on_gone(this);
+      }
+      Close();
+      return;
+    }
+    out_offset_ += static_cast<size_t>(size);
+  }
+  if (fd_ < 0) {
+    return;
+  }
+  out_.clear();
+  out_offset_ = 0;
+  if (!answer_complete_) {
+    UpdateWatch();
+    if (state_ == State::kAnswering) {
+      handlers_->on_drained(this);
+    }
+    return;
+  }
+  if (state_ != State::kAnswering) {
+    return;
+  }
+  if (!request_keep_alive_) {
+    Linger();
+    return;
+  }
+  state_ = State::kIdle;
+  state_since_ = loop_->now();
+  heard_at_ = loop_->now();
+  answer_complete_ = false;
+  UpdateWatch();
+  if (!in_.empty()) {
+    // A request that was sent before the answer. Parsed in a later turn, so
+    // that answers do not nest.
+    loop_->Post([this, watch = watch_, loop = loop_] {
+      if (loop->IsWatched(watch)) {
+        ParseInput();
+      }
+    });
+  }
+}
+
+void CallerConnection::UpdateWatch() {
+  uint32_t events = EPOLLRDHUP;
+  if (state_ != State::kAnswering) {
+    events |= EPOLLIN;
+  }
+  if (out_offset_ < out_.size()) {
+    events |= EPOLLOUT;
+  }
+  if (events != watched_events_) {
+    watched_events_ = events;
+    loop_->Change(watch_, events);
+  }
+}
+
+void CallerConnection::Linger() {
+  // A close with unread bytes would reset the connection, and the caller could
+  // lose the answer.
+  state_ = State::kLingering;
+  state_since_ = loop_->now();
+  shutdown(fd_, SHUT_WR);
+  UpdateWatch();
+}
+
+void CallerConnection::Abort() {
+  if (fd_ < 0) {
+    return;
+  }
+  if (!chunked_) {
+    // Only a reset shows that an answer without framing is not complete.
+    const linger reset = {1, 0};
+    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  }
+  Close();
+}
+
+void CallerConnection::CloseWhenIdle() {
+  keep_alive_ = false;
+  if (state_ == State::kIdle && in_.empty()) {
+    Close();
+  }
+}
+
+void CallerConnection::CheckTimeouts() {
+  if (fd_ < 0) {
+    return;
+  }
+  const MonoTime now = loop_->now();
+  switch (state_) {
+    case State::kIdle:
+      if (now - heard_at_ >= absl::Milliseconds(limits_.idle_timeout_ms)) {
+        Close();
+      }
+      return;
+    case State::kReading:
+      if (!head_complete_ &&
+          now - state_since_ >= absl::Milliseconds(limits_.header_timeout_ms)) {
+        Reject(ErrorKind::kRequestTimeout);
+      } else if (now - heard_at_ >=
+                 absl::Milliseconds(limits_.idle_timeout_ms)) {
+        Reject(ErrorKind::kRequestTimeout);
+      }
+      return;
+    case State::kLingering:
+      if (now - state_since_ >= kLingerTime) {
+        Close();
+      }
+      return;
+    case State::kAnswering:
+      return;
+  }
+}
+
+void CallerConnection::Close() {
+  if (fd_ < 0) {
+    return;
+  }
+  loop_->Unwatch(watch_);
+  close(std::exchange(fd_, -1));
+  handlers_->on_closed(this);
+}
+
+}  // namespace camphorsail
--- /dev/null
+++ b/camphorsail/gateway/caller_listener.cc
@@ -0,0 +1,117 @@
+#include "camphorsail/gateway/caller_listener.h"
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <utility>
+#include <vector>
+
+#include "camphorsail/net/tcp_socket.h"
+
+namespace camphorsail {
+namespace {
+
+/// How often connections are checked for timeouts.
+constexpr absl::Duration kSweepInterval = absl::Milliseconds(500);
+
+}  // namespace
+
+Expected<std::unique_ptr<CallerListener>> CallerListener::Create(
+    const NetworkAddress& address,
+    EventLoop* loop,
+    std::function<CallerLimits()> limits,
+    CallerHandlers handlers) {
+  const Expected<int> fd = ListenTcp(address);
+  if (!fd) {
+    return tl::unexpected<Error>(fd.error());
+  }
+  return std::unique_ptr<CallerListener>(
+      new CallerListener(*fd, loop, std::move(limits), std::move(handlers)));
+}
+
+CallerListener::CallerListener(int fd,
+                               EventLoop* loop,
+                               std::function<CallerLimits()> limits,
+                               CallerHandlers handlers)
+    : fd_(fd),
+      port_(LocalAddress(fd).port),
+      loop_(loop),
+      limits_(std::move(limits)),
+      handlers_(std::move(handlers)) {
+  handlers_.on_closed = [this, inner = std::move(handlers_.on_closed)](
+                            CallerConnection* connection) {
+    if (inner) {
+      inner(connection);
+    }
+    const auto found = connections_.find(connection);
+    if (found != connections_.end()) {
+      // Destroyed in a later turn, because the connection is the caller.
+      std::shared_ptr<CallerConnection> dead = std::move(found->second);
+      connections_.erase(found);
+      loop_->Post([dead] {});
+    }
+  };
+  watch_ = loop_->Watch(fd_, EPOLLIN, [this](uint32_t) { Accept(); });
+  sweep_timer_ = loop_->At(loop_->now() + kSweepInterval, [this] { Sweep(); });
+}
+
+CallerListener::~CallerListener() {
+  loop_->Cancel(sweep_timer_);
+  StopAccepting();
+}
+
+void CallerListener::Accept() {
+  while (fd_ >= 0) {
+    const int fd = AcceptTcp(fd_);
+    if (fd < 0) {
+      return;
+    }
+    auto owned =
+        std::make_unique<CallerConnection>(fd, loop_, limits_(), &handlers_);
+    CallerConnection* connection = owned.get();
+    if (last_requests_) {
+      connection->SetLastRequest();
+    }
+    connections_.emplace(connection, std::move(owned));
+  }
+}
+
+void CallerListener::Sweep() {
+  std::vector<CallerConnection*> all;
+  all.reserve(connections_.size());
+  for (const auto& [connection, owned] : connections_) {
+    all.push_back(connection);
+  }
+  // A check may close the connection, which removes it from the map; it is
+  // destroyed in a later turn.
+  for (CallerConnection* connection : all) {
+    connection->CheckTimeouts();
+  }
+  sweep_timer_ = loop_->At(loop_->now() + kSweepInterval, [this] { Sweep(); });
+}
+
+void CallerListener::CloseConnections() {
+  std::vector<CallerConnection*> all;
+  for (const auto& [connection, owned] : connections_) {
+    all.push_back(connection);
+  }
+  for (CallerConnection* connection : all) {
+    connection->CloseWhenIdle();
+  }
+}
+
+void CallerListener::SetLastRequests() {
+  last_requests_ = true;
+  for (const auto& [connection, owned] : connections_) {
+    connection->SetLastRequest();
+  }
+}
+
+void CallerListener::StopAccepting() {
+  if (fd_ >= 0) {
+    loop_->Unwatch(watch_);
+    close(std::exchange(fd_, -1));
+  }
+}
+
+}  // namespace camphorsail
--- /dev/null
+++ b/camphorsail/gateway/gateway.cc
@@ -0,0 +1,624 @@
+#include "camphorsail/gateway/gateway.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "camphorsail/gateway/error_reply.h"
+#include "camphorsail/gateway/http_parse.h"
+#include "camphorsail/process/log_event.h"
+
+namespace camphorsail {
+namespace {
+
+/// Attempts of one request, those included that reached no server.
+constexpr int kMaxTries = 4;
+/// An attempt on a route that may run again is given up after this multiple of
+/// the latency objective without an answer, within the bounds below.
+constexpr double kSilenceFactor = 2;
+constexpr absl::Duration kMinCallSilence = absl::Milliseconds(150);
+constexpr absl::Duration kMinStreamSilence = absl::Milliseconds(1000);
+/// A stream that may be continued elsewhere is, after this multiple of its
+/// longest pause without an event.
+constexpr double kGapFactor = 3;
+/// Too little time is left for an answer from another server.
+constexpr absl::Duration kMinTimeLeft = absl::Milliseconds(20);
+/// A caller that reads slower than this many bytes behind pauses its server.
+constexpr size_t kMaxUnsentBytes = 256 * 1024;
+/// Streams whose pauses may be at most this long suffer from long prompts on
+/// their engine.
+constexpr int64_t kQuickGapMs = 350;
+/// A stream that begins this late after the start of a drain may not end before
+/// the process must.
+constexpr absl::Duration kLastStreamStart = absl::Milliseconds(2500);
+/// A refused caller comes back after this time, or after the part below of the
+/// time that it has left, whichever is shorter; a longer wait is not honoured.
+constexpr absl::Duration kRetryAfter = absl::Milliseconds(300);
+constexpr absl::Duration kRetryAfterUnready = absl::Milliseconds(800);
+constexpr double kRetryAfterPart = 0.3;
+constexpr absl::Duration kHousekeeping = absl::Seconds(1);
+
+}  // namespace
+
+Gateway::Gateway(const GatewaySettings& settings,
+                 const WireDialect& dialect,
+                 EventLoop* loop,
+                 Metrics* metrics)
+    : settings_(settings),
+      dialect_(dialect),
+      loop_(loop),
+      journal_(metrics),
+      pool_(settings.pool, loop),
+      placement_(settings.placement, settings.seed),
+      random_(settings.seed ^ 0x726f757465) {}
+
+Gateway::~Gateway() {
+  loop_->Cancel(housekeeping_);
+}
+
+Expected<void> Gateway::Start() {
+  CallerHandlers handlers;
+  handlers.on_request = [this](CallerConnection* caller, HttpRequestHead head,
+                               std::string body) {
+    OnRequest(caller, std::move(head), std::move(body));
+  };
+  handlers.on_bad_request = [this](CallerConnection* caller, ErrorKind kind) {
+    OnBadRequest(caller, kind);
+  };
+  handlers.on_gone = [this](CallerConnection* caller) { OnCallerGone(caller); };
+  handlers.on_drained = [this](CallerConnection* caller) {
+    OnCallerDrained(caller);
+  };
+  const auto limits = [this] {
+    return index_ ? index_->table().limits : CallerLimits();
+  };
+  Expected<std::unique_ptr<CallerListener>> callers =
+      CallerListener::Create(settings_.listen, loop_, limits, handlers);
+  if (!callers) {
+    return tl::unexpected<Error>(callers.error());
+  }
+  callers_ = *std::move(callers);
+
+  CallerHandlers ready_handlers;
+  ready_handlers.on_request = [this](CallerConnection* caller, HttpRequestHead,
+                                     std::string) { OnReadyRequest(caller); };
+  ready_handlers.on_bad_request = [](CallerConnection* caller, ErrorKind kind) {
+    caller->SendWhole(GetErrorTraits(kind).http_status, HttpHeaders(), "");
+  };
+  ready_handlers.on_gone = [](CallerConnection*) {};
+  ready_handlers.on_drained = [](CallerConnection*) {};
+  Expected<std::unique_ptr<CallerListener>> ready = CallerListener::Create(
+      settings_.ready_listen, loop_, [] { return CallerLimits(); },
+      ready_handlers);
+  if (!ready) {
+    return tl::unexpected<Error>(ready.error());
+  }
+  ready_ = *std::move(ready);
+  const std::function<void()> housekeeping = [this] { pool_.CloseIdle(); };
+  struct Repeat {
+    static void Run(EventLoop* loop,
+                    EventLoop::TimerId* timer,
+                    const std::function<void()>& task) {
+      *timer = loop->At(loop->now() + kHousekeeping, [loop, timer, task] {
+        task();
+        Run(loop, timer, task);
+      });
+    }
+  };
+  Repeat::Run(loop_, &housekeeping_, housekeeping);
+  return {};
+}
+
+void Gateway::SetTable(const Ref<SharedRoutingTable>& table) {
+  index_ = MakeRef<RouteIndex>(table);
+  LogEvent("routing_in_force")
+      .Add("version", table->table.version)
+      .Add("routes", table->table.routes.size())
+      .Add("accounts", table->table.accounts.size());
+}
+
+bool Gateway::IsReady() const {
+  return !draining_ && index_ && loop_->now() < lease_valid_until_;
+}
+
+void Gateway::BeginDrain() {
+  draining_ = true;
+  drain_since_ = loop_->now();
+  callers_->SetLastRequests();
+}
+
+void Gateway::StopCallers() {
+  callers_->StopAccepting();
+  callers_->CloseConnections();
+}
+
+RetryAllowance& Gateway::RetriesOf(const ModelId& service) {
+  return retries_.try_emplace(service, settings_.retries).first->second;
+}
+
+void Gateway::OnReadyRequest(CallerConnection* caller) {
+  caller->SendWhole(IsReady() ? 200 : 503, HttpHeaders(), "");
+}
+
+void Gateway::OnBadRequest(CallerConnection* caller, ErrorKind kind) {
+  journal_.OnBadRequest(kind, loop_->now());
+  const ErrorReply reply = MakeErrorReply(
+      Error{kind, "the request is malformed or too large"}, "", dialect_);
+  caller->SendWhole(reply.status, reply.headers, reply.body);
+}
+
+void Gateway::OnRequest(CallerConnection* caller,
+                        HttpRequestHead head,
+                        std::string body) {
+  auto owned = std::make_unique<Exchange>();
+  Exchange* exchange = owned.get();
+  exchange->caller = caller;
+  exchange->head = std::move(head);
+  exchange->body = std::move(body);
+  exchange->index = index_;
+  exchange->arrived_at = loop_->now();
+  exchange->deadline = MonoTime::Infinite();
+  exchanges_[caller] = std::move(owned);
+  if (Expected<void> admitted = Admit(exchange); !admitted) {
+    Refuse(exchange, admitted.error().kind, admitted.error().message);
+    return;
+  }
+  if (exchange->deadline != MonoTime::Infinite()) {
+    exchange->deadline_timer = loop_->At(
+        exchange->deadline, [this, exchange] { OnDeadline(exchange); });
+  }
+  RetriesOf(exchange->service->name).OnRequest(loop_->now());
+  Dispatch(exchange);
+}
+
+Expected<void> Gateway::Admit(Exchange* exchange) {
+  const MonoTime now = loop_->now();
+  Expected<CallerRequest> request = dialect_.read_request(exchange->head);
+  if (!request) {
+    return tl::unexpected<Error>(request.error());
+  }
+  exchange->request = *std::move(request);
+  if (!exchange->index) {
+    return Fail(ErrorKind::kNotReady, "no routing table yet");
+  }
+  if (now >= lease_valid_until_) {
+    return Fail(ErrorKind::kLeaseExpired, "no replica confirms the table");
+  }
+  const RouteIndex& index = *exchange->index;
+  const std::string* host = exchange->head.headers.Find("host");
+  exchange->route =
+      index.FindRoute(host == nullptr ? "" : *host, exchange->head.target);
+  if (exchange->route == nullptr) {
+    return Fail(ErrorKind::kNotFound, "no route for host and path");
+  }
+  const Route& route = *exchange->route;
+  exchange->rank = route.rank;
+  if (index.table().requires_keys && !route.is_public) {
+    const AccountKeys* account = index.FindAccount(exchange->request.api_key);
+    if (account == nullptr) {
+      return Fail(ErrorKind::kUnauthenticated, "unknown API key");
+    }
+    exchange->account = account->account;
+    exchange->rank = account->rank.value_or(route.rank);
+  }
+  if (draining_ && route.kind == RouteKind::kStream &&
+      loop_->now() >= drain_since_ + kLastStreamStart) {
+    return Fail(ErrorKind::kShuttingDown, "the gateway is stopping");
+  }
+  double sum = 0;
+  for (const RouteTarget& target : route.targets) {
+    sum += target.weight;
+  }
+  double choice = random_.Uniform() * sum;
+  for (const RouteTarget& target : route.targets) {
+    if (target.weight <= 0) {
+      continue;
+    }
+    exchange->service = index.FindService(target.service);
+    if ((choice -= target.weight) < 0) {
+      break;
+    }
+  }
+  const absl::Duration wait = std::min(exchange->request.patience,
+                                       absl::Milliseconds(route.timeout_ms));
+  exchange->deadline = now + wait;
+  PlacementRequest& placement = exchange->placement;
+  placement.is_generation = exchange->service->is_engine;
+  placement.prompt_tokens = exchange->request.prompt_tokens;
+  placement.prefixes = PromptPrefixes::Of(exchange->request.model,
+                                          exchange->request.prompt_parts);
+  placement.is_quick = route.kind == RouteKind::kStream &&
+                       route.event_gap_ms > 0 &&
+                       route.event_gap_ms <= kQuickGapMs;
+  exchange->last_event = exchange->request.last_event;
+  return {};
+}
+
+void Gateway::Dispatch(Exchange* exchange) {
+  const MonoTime now = loop_->now();
+  if (now >= lease_valid_until_) {
+    Refuse(exchange, ErrorKind::kLeaseExpired, "no replica confirms the table");
+    return;
+  }
+  const PlacementChoice choice = placement_.Choose(
+      fleet_.ServersOf(exchange->service->name), exchange->placement, now);
+  if (!choice.server) {
+    Refuse(exchange, ErrorKind::kNoBackendServer, "no server of the service");
+    return;
+  }
+  BackendServer& server = *choice.server;
+  ++exchange->tries;
+  ExchangeAttempt& attempt = exchange->attempt.emplace();
+  attempt.server = choice.server;
+  attempt.started_at = now;
+  attempt.prefill = choice.prefill;
+  attempt.expected = choice.expected;
+  server.OnDispatch(choice.prefill, exchange->placement.is_quick, now);
+  server.prefixes.Record(exchange->placement.prefixes, now);
+  attempt.connection = pool_.Take(server.address);
+  const Route& route = *exchange->route;
+  if (route.MayRunAgain() && route.objective_ms > 0) {
+    const absl::Duration objective = absl::Milliseconds(route.objective_ms);
+    ArmSilence(exchange,
+               std::max(objective * kSilenceFactor,
+                        route.kind == RouteKind::kStream ? kMinStreamSilence
+                                                         : kMinCallSilence));
+  }
+  attempt.connection->Start(BuildRequest(*exchange, server, now),
+                            exchange->head.method == "HEAD",
+                            MakeHandlers(exchange));
+}
+
+std::string Gateway::BuildRequest(const Exchange& exchange,
+                                  const BackendServer& server,
+                                  MonoTime now) const {
+  HttpHeaders headers;
+  for (const HttpHeaders::Item& item : exchange.head.headers.items()) {
+    if (!IsHopHeader(exchange.head.headers, item.first) &&
+        !absl::EqualsIgnoreCase(item.first, "content-length") &&
+        !absl::EqualsIgnoreCase(item.first, "expect")) {
+      headers.Add(item.first, item.second);
+    }
+  }
+  ForwardTerms terms;
+  terms.server = server.id;
+  terms.time_left = exchange.deadline - now;
+  terms.account = exchange.account;
+  if (exchange.service->is_engine) {
+    terms.urgency = std::clamp(exchange.rank, 0, 9);
+  }
+  terms.last_event = exchange.last_event;
+  dialect_.write_terms(terms, &headers);
+  std::string request = absl::StrCat(exchange.head.method, " ",
+                                     exchange.head.target, " HTTP/1.1\r\n");
+  headers.AppendTo(&request);
+  const bool has_body =
+      !exchange.body.empty() ||
+      exchange.head.headers.Find("content-length") != nullptr ||
+      exchange.head.headers.Find("transfer-encoding") != nullptr;
+  if (has_body) {
+    absl::StrAppend(&request, "Content-Length: ", exchange.body.size(), "\r\n");
+  }
+  absl::StrAppend(&request, "\r\n", exchange.body);
+  return request;
+}
+
+BackendHandlers Gateway::MakeHandlers(Exchange* exchange) {
+  BackendHandlers handlers;
+  handlers.on_head = [this, exchange](HttpResponseHead head) {
+    return OnHead(exchange, std::move(head));
+  };
+  handlers.on_data = [this, exchange](std::string_view data) {
+    OnData(exchange, data);
+  };
+  handlers.on_end = [this, exchange] { OnEnd(exchange); };
+  handlers.on_failure = [this, exchange](BackendFailure failure, bool sent) {
+    OnFailure(exchange, failure, sent);
+  };
+  return handlers;
+}
+
+bool Gateway::OnHead(Exchange* exchange, HttpResponseHead head) {
+  ExchangeAttempt& attempt = *exchange->attempt;
+  attempt.reply = dialect_.read_reply(head);
+  const ServerReply& reply = attempt.reply;
+  // A late answer to an earlier request on the connection is not for this
+  // caller.
+  const bool is_success = head.status >= 200 && head.status < 300;
+  if (reply.request_id != exchange->request.request_id ||
+      (is_success && (!reply.is_signed || reply.is_encoded))) {
+    return false;
+  }
+  if (reply.load.has_value()) {
+    attempt.server->OnReport(*reply.load, loop_->now());
+  }
+  attempt.head = std::move(head);
+  return true;
+}
+
+void Gateway::OnData(Exchange* exchange, std::string_view data) {
+  ExchangeAttempt& attempt = *exchange->attempt;
+  if (attempt.reply.not_run) {
+    return;
+  }
+  if (exchange->route->kind == RouteKind::kStream &&
+      attempt.head->status == 200) {
+    ForwardEvents(exchange, data);
+    return;
+  }
+  attempt.body.append(data);
+}
+
+void Gateway::NoteFirstAnswer(Exchange* exchange) {
+  ExchangeAttempt& attempt = *exchange->attempt;
+  if (std::exchange(attempt.has_answer, true)) {
+    return;
+  }
+  const MonoTime now = loop_->now();
+  attempt.server->OnPromptDone(attempt.prefill, now);
+  attempt.server->health.OnSuccess(now);
+  if (attempt.expected > absl::ZeroDuration()) {
+    const double ratio =
+        absl::FDivDuration(now - attempt.started_at, attempt.expected);
+    attempt.server->health.OnTime(std::clamp(ratio, 0.5, 8.0), now);
+  }
+}
+
+void Gateway::ForwardEvents(Exchange* exchange, std::string_view data) {
+  ExchangeAttempt& attempt = *exchange->attempt;
+  const uint64_t before = attempt.events.count();
+  const std::string events = attempt.events.Take(data);
+  if (events.empty()) {
+    return;
+  }
+  NoteFirstAnswer(exchange);
+  if (!std::exchange(exchange->streaming, true)) {
+    exchange->caller->SendHead(attempt.head->status,
+                               ReplyHeaders(*attempt.head));
+  }
+  exchange->events_sent += attempt.events.count() - before;
+  if (attempt.events.last_id().has_value()) {
+    exchange->last_event = attempt.events.last_id();
+  }
+  if (exchange->route->MayRunAgain()) {
+    const absl::Duration gap =
+        absl::Milliseconds(exchange->route->event_gap_ms);
+    ArmSilence(exchange, std::max(gap * kGapFactor, kMinStreamSilence));
+  }
+  exchange->caller->SendData(events);
+  // The caller may have left while its data was written.
+  if (!exchange->finished &&
+      exchange->caller->unsent_bytes() > kMaxUnsentBytes) {
+    exchange->attempt->connection->SetPaused(true);
+  }
+}
+
+void Gateway::OnCallerDrained(CallerConnection* caller) {
+  const auto found = exchanges_.find(caller);
+  if (found != exchanges_.end() && found->second->attempt.has_value() &&
+      found->second->attempt->connection != nullptr) {
+    found->second->attempt->connection->SetPaused(false);
+  }
+}
+
+void Gateway::OnEnd(Exchange* exchange) {
+  ExchangeAttempt& attempt = *exchange->attempt;
+  attempt.connection = nullptr;
+  const int status = attempt.head->status;
+  if (attempt.reply.not_run) {
+    Recover(exchange, "not_run", /*may_have_run=*/false, /*timed_out=*/false);
+    return;
+  }
+  if (!attempt.reply.is_signed && !exchange->streaming) {
+    // Nothing shows that the server ran the request, or that it did not.
+    Recover(exchange, absl::StrCat("unsigned_", status), /*may_have_run=*/true,
+            /*timed_out=*/false);
+    return;
+  }
+  if (exchange->streaming) {
+    exchange->caller->SendData(attempt.events.rest());
+    if (exchange->finished) {
+      return;
+    }
+    journal_.OnAnswered(*exchange, status, loop_->now());
+    CallerConnection* caller = exchange->caller;
+    Finish(exchange);
+    caller->SendEnd();
+    return;
+  }
+  if (status >= 500 && MayTryAgain(*exchange, /*may_have_run=*/true)) {
+    Recover(exchange, absl::StrCat("status_", status), /*may_have_run=*/true,
+            /*timed_out=*/false);
+    return;
+  }
+  if (status < 500) {
+    NoteFirstAnswer(exchange);
+  } else {
+    attempt.server->health.OnFailure(loop_->now());
+  }
+  const std::string body =
+      exchange->route->kind == RouteKind::kStream && status == 200
+          ? attempt.events.rest()
+          : std::move(attempt.body);
+  const HttpHeaders headers = ReplyHeaders(*attempt.head);
+  CallerConnection* caller = exchange->caller;
+  journal_.OnAnswered(*exchange, status, loop_->now());
+  // Finished first, because the caller may send its next request at once.
+  Finish(exchange);
+  caller->SendWhole(status, headers, body);
+}
+
+void Gateway::OnFailure(Exchange* exchange, BackendFailure failure, bool sent) {
+  exchange->attempt->connection = nullptr;
+  if (!sent) {
+    exchange->attempt->server->health.OnUnreachable(loop_->now());
+  }
+  Recover(exchange, ToString(failure), /*may_have_run=*/sent,
+          /*timed_out=*/false);
+}
+
+void Gateway::OnSilence(Exchange* exchange) {
+  // Where no other attempt would follow, the present one goes on.
+  if (!MayTryAgain(*exchange, /*may_have_run=*/true)) {
+    return;
+  }
+  Recover(exchange, "silent", /*may_have_run=*/true, /*timed_out=*/true);
+}
+
+void Gateway::Recover(Exchange* exchange,
+                      std::string_view failure,
+                      bool may_have_run,
+                      bool timed_out) {
+  const MonoTime now = loop_->now();
+  ExchangeAttempt& attempt = *exchange->attempt;
+  const bool rejected = attempt.reply.not_run;
+  if (may_have_run) {
+    ++exchange->runs;
+    attempt.server->health.OnFailure(now);
+  }
+  if (may_have_run || rejected) {
+    ++exchange->sent_attempts;
+  }
+  exchange->placement.tried.push_back(attempt.server->id);
+  const bool again =
+      MayTryAgain(*exchange, may_have_run) &&
+      (exchange->sent_attempts == 0 ||
+       RetriesOf(exchange->service->name).TryRetry(gateway_count_, now));
+  journal_.OnAttemptFailed(*exchange, failure,
+                           !again                ? "give_up"
+                           : exchange->streaming ? "resume"
+                                                 : "retry",
+                           now);
+  EndAttempt(exchange, /*cancel=*/true);
+  if (again) {
+    Dispatch(exchange);
+    return;
+  }
+  if (exchange->runs > 0) {
+    Refuse(exchange,
+           timed_out ? ErrorKind::kBackendTimeout : ErrorKind::kBackendFailed,
+           failure);
+  } else {
+    Refuse(exchange, ErrorKind::kOverloaded, failure);
+  }
+}
+
+bool Gateway::MayTryAgain(const Exchange& exchange, bool may_have_run) {
+  const MonoTime now = loop_->now();
+  const Route& route = *exchange.route;
+  if (exchange.tries >= kMaxTries || now >= lease_valid_until_ ||
+      exchange.deadline - now < kMinTimeLeft) {
+    return false;
+  }
+  if (exchange.streaming && !exchange.last_event.has_value()) {
+    return false;
+  }
+  if (!may_have_run && exchange.runs == 0) {
+    return true;
+  }
+  return route.MayRunAgain() && exchange.runs < route.max_attempts;
+}
+
+void Gateway::EndAttempt(Exchange* exchange, bool cancel) {
+  if (!exchange->attempt.has_value()) {
+    return;
+  }
+  loop_->Cancel(exchange->silence_timer);
+  const MonoTime now = loop_->now();
+  ExchangeAttempt& attempt = *exchange->attempt;
+  if (!attempt.has_answer) {
+    attempt.server->OnPromptDone(attempt.prefill, now);
+  }
+  attempt.server->OnFinished(exchange->placement.is_quick, now);
+  BackendConnection* connection = std::exchange(attempt.connection, nullptr);
+  if (cancel && connection != nullptr) {
+    connection->Cancel();
+  }
+  exchange->attempt.reset();
+}
+
+void Gateway::Refuse(Exchange* exchange,
+                     ErrorKind kind,
+                     std::string_view reason) {
+  journal_.OnRefused(*exchange, kind, reason, loop_->now());
+  CallerConnection* caller = exchange->caller;
+  if (exchange->streaming) {
+    Finish(exchange);
+    caller->Abort();
+    return;
+  }
+  const ErrorReply reply = MakeErrorReply(
+      Error{kind, std::string(reason), RetryAfter(*exchange, kind)},
+      exchange->request.request_id, dialect_);
+  Finish(exchange);
+  caller->SendWhole(reply.status, reply.headers, reply.body);
+}
+
+absl::Duration Gateway::RetryAfter(const Exchange& exchange, ErrorKind kind) {
+  const bool unready =
+      kind == ErrorKind::kNotReady || kind == ErrorKind::kLeaseExpired;
+  const absl::Duration base = unready ? kRetryAfterUnready : kRetryAfter;
+  if (exchange.deadline == MonoTime::Infinite()) {
+    return base;
+  }
+  return std::clamp((exchange.deadline - loop_->now()) * kRetryAfterPart,
+                    absl::ZeroDuration(), base);
+}
+
+void Gateway::OnDeadline(Exchange* exchange) {
+  if (exchange->attempt.has_value() &&
+      exchange->attempt->connection != nullptr) {
+    // Whether the server has run it is not known.
+    ++exchange->runs;
+  }
+  EndAttempt(exchange, /*cancel=*/true);
+  Refuse(exchange,
+         exchange->runs > 0 ? ErrorKind::kBackendTimeout
+                            : ErrorKind::kDeadlineUnreachable,
+         "the time for the answer is over");
+}
+
+void Gateway::OnCallerGone(CallerConnection* caller) {
+  const auto found = exchanges_.find(caller);
+  if (found == exchanges_.end()) {
+    return;
+  }
+  Exchange* exchange = found->second.get();
+  if (exchange->route != nullptr) {
+    journal_.OnCallerLeft(*exchange, loop_->now());
+  }
+  EndAttempt(exchange, /*cancel=*/true);
+  Finish(exchange);
+}
+
+void Gateway::ArmSilence(Exchange* exchange, absl::Duration limit) {
+  loop_->Cancel(exchange->silence_timer);
+  exchange->silence_timer = loop_->At(
+      loop_->now() + limit, [this, exchange] { OnSilence(exchange); });
+}
+
+void Gateway::Finish(Exchange* exchange) {
+  EndAttempt(exchange, /*cancel=*/true);
+  loop_->Cancel(exchange->deadline_timer);
+  exchange->finished = true;
+  const auto found = exchanges_.find(exchange->caller);
+  std::shared_ptr<Exchange> dead = std::move(found->second);
+  exchanges_.erase(found);
+  // Destroyed in a later turn, because its data may still be in use.
+  loop_->Post([dead] {});
+}
+
+HttpHeaders Gateway::ReplyHeaders(const HttpResponseHead& head) const {
+  HttpHeaders headers;
+  for (const HttpHeaders::Item& item : head.headers.items()) {
+    if (!IsHopHeader(head.headers, item.first) &&
+        !absl::EqualsIgnoreCase(item.first, "content-length")) {
+      headers.Add(item.first, item.second);
+    }
+  }
+  dialect_.strip_reply(&headers);
+  return headers;
+}
+
+}  // namespace camphorsail
--- /dev/null
+++ b/camphorsail/gateway/gateway.h
@@ -0,0 +1,127 @@
+#ifndef CAMPHORSAIL_GATEWAY_GATEWAY_H_
+#define CAMPHORSAIL_GATEWAY_GATEWAY_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "absl/container/flat_hash_map.h"
+#include "camphorsail/base/error.h"
+#include "camphorsail/gateway/backend_fleet.h"
+#include "camphorsail/gateway/backend_pool.h"
+#include "camphorsail/gateway/caller_listener.h"
+#include "camphorsail/gateway/exchange.h"
+#include "camphorsail/gateway/gateway_journal.h"
+#include "camphorsail/gateway/gateway_settings.h"
+#include "camphorsail/gateway/placement.h"
+#include "camphorsail/gateway/wire_dialect.h"
+#include "camphorsail/net/event_loop.h"
+#include "camphorsail/routing/route_index.h"
+
+namespace camphorsail {
+
+/// Forwards callers' requests to backend servers by the routing table: finds
+/// route and account, chooses a server, repeats what may be repeated, and
+/// passes the answer on as it comes. Owned by the gateway's process; belongs to
+/// the loop's thread.
+class Gateway {
+ public:
+  /// @param dialect How the deployment writes requests and answers.
+  /// @param metrics Outlives the gateway.
+  Gateway(const GatewaySettings& settings,
+          const WireDialect& dialect,
+          EventLoop* loop,
+          Metrics* metrics);
+  ~Gateway();
+
+  /// Opens the listeners.
+  /// @return The error of an address that cannot be used.
+  Expected<void> Start();
+
+  /// Follows this table from now on.
+  void SetTable(const Ref<SharedRoutingTable>& table);
+  /// Requests are sent while the clock is before this time.
+  void SetLease(MonoTime valid_until) { lease_valid_until_ = valid_until; }
+  /// @param count Gateways that share the servers, this one included.
+  void SetGatewayCount(int count) { gateway_count_ = count; }
+  BackendFleet& fleet() { return fleet_; }
+
+  /// Reports not ready, and has each answer end its connection.
+  void BeginDrain();
+  /// Takes no new connections and closes the idle ones.
+  void StopCallers();
+  /// @return True when no request is in progress.
+  bool IsIdle() const { return exchanges_.empty(); }
+  bool IsReady() const;
+
+ private:
+  void OnRequest(CallerConnection* caller,
+                 HttpRequestHead head,
+                 std::string body);
+  void OnBadRequest(CallerConnection* caller, ErrorKind kind);
+  void OnReadyRequest(CallerConnection* caller);
+  /// Finds route, account and deadline.
+  /// @return Nothing, or the error to answer with.
+  Expected<void> Admit(Exchange* exchange);
+  /// Sends the exchange to a server, or answers that there is none.
+  void Dispatch(Exchange* exchange);
+  std::string BuildRequest(const Exchange& exchange,
+                           const BackendServer& server,
+                           MonoTime now) const;
+  BackendHandlers MakeHandlers(Exchange* exchange);
+
+  bool OnHead(Exchange* exchange, HttpResponseHead head);
+  void OnData(Exchange* exchange, std::string_view data);
+  void OnEnd(Exchange* exchange);
+  void OnFailure(Exchange* exchange, BackendFailure failure, bool sent);
+  void OnSilence(Exchange* exchange);
+  void OnDeadline(Exchange* exchange);
+  void OnCallerGone(CallerConnection* caller);
+  void OnCallerDrained(CallerConnection* caller);
+
+  /// The prompt was read: the first event or the whole answer is here.
+  void NoteFirstAnswer(Exchange* exchange);
+  void ForwardEvents(Exchange* exchange, std::string_view data);
+  /// Ends the attempt after it failed, and tries again where that is allowed.
+  /// @param may_have_run False when the server certainly did not run it.
+  void Recover(Exchange* exchange,
+               std::string_view failure,
+               bool may_have_run,
+               bool timed_out);
+  /// @return True when another attempt may be sent.
+  bool MayTryAgain(const Exchange& exchange, bool may_have_run);
+  void EndAttempt(Exchange* exchange, bool cancel);
+  /// Answers with an error of the gateway, or cuts a streamed answer.
+  void Refuse(Exchange* exchange, ErrorKind kind, std::string_view reason);
+  void ArmSilence(Exchange* exchange, absl::Duration limit);
+  void Finish(Exchange* exchange);
+
+  /// @return When the caller may come back after a refusal that it was not run.
+  absl::Duration RetryAfter(const Exchange& exchange, ErrorKind kind);
+  RetryAllowance& RetriesOf(const ModelId& service);
+  HttpHeaders ReplyHeaders(const HttpResponseHead& head) const;
+
+  const GatewaySettings settings_;
+  const WireDialect dialect_;
+  EventLoop* const loop_;
+  GatewayJournal journal_;
+  BackendPool pool_;
+  BackendFleet fleet_;
+  Placement placement_;
+  Random random_;
+  Ref<RouteIndex> index_;
+  MonoTime lease_valid_until_;
+  int gateway_count_ = 1;
+  bool draining_ = false;
+  MonoTime drain_since_;
+  absl::flat_hash_map<ModelId, RetryAllowance> retries_;
+  absl::flat_hash_map<CallerConnection*, std::unique_ptr<Exchange>> exchanges_;
+  std::unique_ptr<CallerListener> callers_;
+  std::unique_ptr<CallerListener> ready_;
+  EventLoop::TimerId housekeeping_;
+};
+
+}  // namespace camphorsail
+
+#endif  // CAMPHORSAIL_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/camphorsail/gateway/gateway_settings.h
@@ -0,0 +1,25 @@
+#ifndef CAMPHORSAIL_GATEWAY_GATEWAY_SETTINGS_H_
+#define CAMPHORSAIL_GATEWAY_GATEWAY_SETTINGS_H_
+
+#include <cstdint>
+
+#include "camphorsail/base/network_address.h"
+#include "camphorsail/gateway/backend_pool.h"
+#include "camphorsail/gateway/placement_settings.h"
+#include "camphorsail/gateway/retry_allowance.h"
+
+namespace camphorsail {
+
+/// Settings of a `Gateway`.
+struct GatewaySettings {
+  NetworkAddress listen;
+  NetworkAddress ready_listen;
+  BackendPoolSettings pool;
+  PlacementSettings placement;
+  RetryAllowanceSettings retries;
+  uint64_t seed = 1;
+};
+
+}  // namespace camphorsail
+
+#endif  // CAMPHORSAIL_GATEWAY_GATEWAY_SETTINGS_H_
--- /dev/null
+++ b/camphorsail/gateway/http_parse.cc
@@ -0,0 +1,60 @@
+#include "camphorsail/gateway/http_parse.h"
+
+#include <algorithm>
+#include <array>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+#include "absl/strings/str_split.h"
+
+namespace camphorsail {
+namespace {
+
+constexpr std::string_view kTokenSymbols = "!#$%&'*+-.^_`|~";
+constexpr std::array<const char*, 8> kHopHeaders = {
+    "connection", "keep-alive", "transfer-encoding", "te",
+    "trailer",    "upgrade",    "proxy-connection",  "proxy-authentication"};
+
+bool IsTokenCharacter(char c) {
+  return absl::ascii_isalnum(static_cast<unsigned char>(c)) ||
+         kTokenSymbols.find(c) != std::string_view::npos;
+}
+
+bool IsValueCharacter(char c) {
+  return c == '\t' || (static_cast<unsigned char>(c) >= 0x20 && c != 0x7f);
+}
+
+}  // namespace
+
+bool AreHeadersClean(const HttpHeaders& headers) {
+  return std::all_of(headers.items().begin(), headers.items().end(),
+                     [](const HttpHeaders::Item& item) {
+                       return !item.first.empty() &&
+                              std::all_of(item.first.begin(), item.first.end(),
+                                          IsTokenCharacter) &&
+                              std::all_of(item.second.begin(),
+                                          item.second.end(), IsValueCharacter);
+                     });
+}
+
+bool IsHopHeader(const HttpHeaders& headers, std::string_view name) {
+  const absl::string_view text(name.data(), name.size());
+  for (const char* hop : kHopHeaders) {
+    if (absl::EqualsIgnoreCase(text, hop)) {
+      return true;
+    }
+  }
+  for (const HttpHeaders::Item& item : headers.items()) {
+    if (!absl::EqualsIgnoreCase(item.first, "connection")) {
+      continue;
+    }
+    for (const absl::string_view option : absl::StrSplit(item.second, ',')) {
+      if (absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(option), text)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+}  // namespace camphorsail
--- /dev/null
+++ b/camphorsail/gateway/placement.h
@@ -0,0 +1,73 @@
+#ifndef CAMPHORSAIL_GATEWAY_PLACEMENT_H_
+#define CAMPHORSAIL_GATEWAY_PLACEMENT_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "camphorsail/base/ids.h"
+#include "camphorsail/base/random.h"
+#include "camphorsail/gateway/backend_fleet.h"
+#include "camphorsail/gateway/placement_settings.h"
+#include "camphorsail/gateway/prefix_memory.h"
+
+namespace camphorsail {
+
+/// What placement needs to know of a request.
+struct PlacementRequest {
+  bool is_generation = false;
+  Tokens prompt_tokens;
+  PromptPrefixes prefixes;
+  /// True for a stream whose events must not pause for long.
+  bool is_quick = false;
+  /// Servers that have failed the request already.
+  std::vector<BackendServerId> tried;
+};
+
+/// The chosen server and what the choice expects.
+struct PlacementChoice {
+  Ref<BackendServer> server;
+  /// Time in which the server reads the part of the prompt that it does not
+  /// cache; zero for calls.
+  absl::Duration prefill;
+  /// Expected time to the first token or to the answer.
+  absl::Duration expected;
+};
+
+/// Chooses the server with the least expected time to the first token or the
+/// answer, with the harm that a long prompt does to streams on its engine.
+/// Engines that share a prefix are found without messages: each prefix has the
+/// same few home engines at every gateway (rendezvous hashing, Thaler and
+/// Ravishankar 1998). Belongs to the loop's thread.
+class Placement {
+ public:
+  Placement(const PlacementSettings& settings, uint64_t seed)
+      : settings_(settings), random_(seed) {}
+
+  /// @param servers Those of the request's service.
+  /// @return Without a server when none can take the request.
+  PlacementChoice Choose(const BackendFleet::Servers& servers,
+                         const PlacementRequest& request,
+                         MonoTime now);
+
+ private:
+  struct Estimate {
+    double cost_ms = 0;
+    double prefill_ms = 0;
+    double expected_ms = 0;
+  };
+
+  Estimate EstimateGeneration(const BackendServer& server,
+                              const PlacementRequest& request,
+                              bool is_home,
+                              MonoTime now) const;
+  Estimate EstimateCall(const BackendServer& server, MonoTime now) const;
+  double PrefillMs(double uncached, double whole) const;
+
+  const PlacementSettings settings_;
+  Random random_;
+};
+
+}  // namespace camphorsail
+
+#endif  // CAMPHORSAIL_GATEWAY_PLACEMENT_H_
--- /dev/null
+++ b/camphorsail/gateway/retry_allowance.cc
@@ -0,0 +1,34 @@
+#include "camphorsail/gateway/retry_allowance.h"
+
+#include <algorithm>
+
+namespace camphorsail {
+
+void RetryAllowance::OnRequest(MonoTime now) {
+  Expire(now);
+  requests_.push_back(now);
+}
+
+bool RetryAllowance::TryRetry(int gateways, MonoTime now) {
+  Expire(now);
+  const double allowed =
+      settings_.use * (settings_.ratio * static_cast<double>(requests_.size()) +
+                       settings_.slack / std::max(1, gateways));
+  if (static_cast<double>(retries_.size()) + 1 > allowed) {
+    return false;
+  }
+  retries_.push_back(now);
+  return true;
+}
+
+void RetryAllowance::Expire(MonoTime now) {
+  const MonoTime oldest = now - settings_.window;
+  while (!requests_.empty() && requests_.front() < oldest) {
+    requests_.pop_front();
+  }
+  while (!retries_.empty() && retries_.front() < oldest) {
+    retries_.pop_front();
+  }
+}
+
+}  // namespace camphorsail
--- a/camphorsail/http/backend_client.cc
+++ b/camphorsail/http/backend_client.cc
@@ -10,7 +10,7 @@
 #include <utility>
 
 #include "absl/time/time.h"
-#include "camphorsail/http/monotonic_clock.h"
+#include "camphorsail/base/monotonic_clock.h"
 
 namespace camphorsail {
 namespace {
--- a/camphorsail/http/entry_runtime.h
+++ b/camphorsail/http/entry_runtime.h
@@ -10,12 +10,12 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/synchronization/mutex.h"
 #include "camphorsail/base/mono_time.h"
+#include "camphorsail/base/monotonic_clock.h"
 #include "camphorsail/entry/entry_shard.h"
 #include "camphorsail/entry/error_answer.h"
 #include "camphorsail/entry/locked_scheduler.h"
 #include "camphorsail/http/backend_client.h"
 #include "camphorsail/http/entry_runtime_hooks.h"
-#include "camphorsail/http/monotonic_clock.h"
 #include "camphorsail/http/stream_handlers.h"
 #include "camphorsail/limits/request_limits.h"
 
--- /dev/null
+++ b/camphorsail/net/event_loop.h
@@ -0,0 +1,81 @@
+#ifndef CAMPHORSAIL_NET_EVENT_LOOP_H_
+#define CAMPHORSAIL_NET_EVENT_LOOP_H_
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/container/flat_hash_map.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+#include "camphorsail/base/mono_time.h"
+#include "camphorsail/net/waker.h"
+
+namespace camphorsail {
+
+/// Waits for descriptors and times, and calls their handlers on one thread.
+/// Only `Post` and `Stop` may be called from other threads. A handler may
+/// remove any watch or timer, its own included.
+class EventLoop {
+ public:
+  /// @param events Of epoll.
+  using Handler = std::function<void(uint32_t events)>;
+  using Task = std::function<void()>;
+  /// Never zero for a watch or timer that exists.
+  using WatchId = uint64_t;
+  using TimerId = std::pair<MonoTime, uint64_t>;
+
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  /// Watches a descriptor until `Unwatch`, which comes before its close.
+  WatchId Watch(int fd, uint32_t events, Handler handler);
+  void Change(WatchId id, uint32_t events);
+  void Unwatch(WatchId id);
+  bool IsWatched(WatchId id) const { return watches_.contains(id); }
+
+  TimerId At(MonoTime time, Task task);
+  void Cancel(TimerId id) { timers_.erase(id); }
+
+  /// Runs a task in a later turn of the loop. Thread-safe.
+  void Post(Task task);
+  /// Ends `Run` after the present turn. Thread-safe.
+  void Stop();
+
+  /// Runs until `Stop`.
+  void Run();
+
+  /// @return Time of the present turn.
+  MonoTime now() const { return now_; }
+
+ private:
+  struct Watched {
+    int fd = -1;
+    Handler handler;
+  };
+
+  void RunTimers();
+  void RunTasks();
+
+  int epoll_fd_;
+  Waker waker_;
+  MonoTime now_;
+  WatchId next_watch_ = 1;
+  absl::flat_hash_map<WatchId, std::unique_ptr<Watched>> watches_;
+  uint64_t next_timer_ = 1;
+  std::map<TimerId, Task> timers_;
+  absl::Mutex mutex_;
+  std::vector<Task> tasks_ ABSL_GUARDED_BY(mutex_);
+  std::atomic<bool> stopping_{false};
+};
+
+}  // namespace camphorsail
+
+#endif  // CAMPHORSAIL_NET_EVENT_LOOP_H_
--- a/camphorsail/peer/tcp_socket.cc
+++ b/camphorsail/net/tcp_socket.cc
@@ -1,4 +1,4 @@
-#include "camphorsail/peer/tcp_socket.h"
+#include "camphorsail/net/tcp_socket.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -64,7 +64,7 @@
 }
 
 void SetNoDelay(int fd) {
-  // Consensus messages are small and latency-bound.
+  // Consensus messages and stream events are small and latency-bound.
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
@@ -118,6 +118,22 @@
   return fd;
 }
 
+void DetectSilence(int fd, absl::Duration limit) {
+  const int on = 1;
+  // Half of the limit before the first probe, and two probes in the rest.
+  const int idle_s =
+      std::max(1, static_cast<int>(absl::ToInt64Seconds(limit / 2)));
+  const int interval_s = 1;
+  const int probes = 2;
+  const auto limit_ms =
+      static_cast<unsigned int>(absl::ToInt64Milliseconds(limit));
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof(interval_s));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof(limit_ms));
+}
+
 int AcceptTcp(int listen_fd) {
   const int fd =
       accept4(listen_fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
--- a/camphorsail/peer/tcp_socket.h
+++ b/camphorsail/net/tcp_socket.h
@@ -1,8 +1,9 @@
-#ifndef CAMPHORSAIL_PEER_TCP_SOCKET_H_
-#define CAMPHORSAIL_PEER_TCP_SOCKET_H_
+#ifndef CAMPHORSAIL_NET_TCP_SOCKET_H_
+#define CAMPHORSAIL_NET_TCP_SOCKET_H_
 
 #include <string>
 
+#include "absl/time/time.h"
 #include "camphorsail/base/error.h"
 #include "camphorsail/base/network_address.h"
 
@@ -22,6 +23,10 @@
 Expected<int> ConnectTcp(const std::string& source_ip,
                          const NetworkAddress& address);
 
+/// Has the kernel notice within about `limit` that the other end is gone or
+/// that the path to it is cut, also while nothing is sent.
+void DetectSilence(int fd, absl::Duration limit);
+
 /// Accepts a connection as non-blocking.
 ///
 /// @return The descriptor; -1 when none waits or none can be accepted.
@@ -34,4 +39,4 @@
 
 }  // namespace camphorsail
 
-#endif  // CAMPHORSAIL_PEER_TCP_SOCKET_H_
+#endif  // CAMPHORSAIL_NET_TCP_SOCKET_H_
--- a/camphorsail/peer/peer_message.h
+++ b/camphorsail/peer/peer_message.h
@@ -24,6 +24,9 @@
   kLimits = 7,
   /// Timeline queries and their results.
   kTimeline = 8,
+  /// A gateway asks a replica for the routing table and a lease.
+  kGatewayPoll = 9,
+  kGatewayUpdate = 10,
 };
 
 /// One message between daemons.
--- a/camphorsail/peer/peer_transport_core.cc
+++ b/camphorsail/peer/peer_transport_core.cc
@@ -12,8 +12,9 @@
 #include <utility>
 
 #include "absl/container/flat_hash_set.h"
+#include "camphorsail/base/monotonic_clock.h"
+#include "camphorsail/net/tcp_socket.h"
 #include "camphorsail/peer/peer_frame.h"
-#include "camphorsail/peer/tcp_socket.h"
 #include "camphorsail/process/log_event.h"
 
 namespace camphorsail {
@@ -29,12 +30,6 @@
 constexpr absl::Duration kFlushPoll = absl::Milliseconds(5);
 constexpr absl::Duration kRefusalLogInterval = absl::Seconds(1);
 
-MonoTime MonotonicNow() {
-  timespec time;
-  clock_gettime(CLOCK_MONOTONIC, &time);
-  return MonoTime::FromNanos(time.tv_sec * 1'000'000'000LL + time.tv_nsec);
-}
-
 uint64_t RandomSeed() {
   std::random_device device;
   return (static_cast<uint64_t>(device()) << 32) | device();
@@ -482,6 +477,9 @@
 }
 
 bool PeerTransportCore::IsAllowed(const VmId& from, int fd) const {
+  if (settings_.accept_unlisted_peers) {
+    return from.value() == RemoteAddress(fd).ip;
+  }
   const Ref<PeerState> peer = table_.Find(from);
   return peer && peer->address.ip == RemoteAddress(fd).ip;
 }
@@ -489,7 +487,12 @@
 void PeerTransportCore::OnAuthenticated(uint64_t id, const VmId& from) {
   --unauthenticated_count_;
   Connection& connection = connections_.find(id)->second;
-  const Ref<PeerState> peer = table_.Find(from);
+  Ref<PeerState> peer = table_.Find(from);
+  if (!peer && settings_.accept_unlisted_peers &&
+      table_.Add({from, {from.value(), listen_address_.port}})) {
+    LogEvent("peer_added").Add("peer", from);
+    peer = table_.Find(from);
+  }
   if (!peer) {
     // Removed since its request was accepted.
     connection.peer = MakeRef<PeerState>(from, NetworkAddress{}, 1, 1);
--- a/camphorsail/peer/peer_transport_settings.h
+++ b/camphorsail/peer/peer_transport_settings.h
@@ -23,6 +23,11 @@
   /// Shared by all daemons; at least `kMinSecretBytes` long.
   std::string secret;
 
+  /// True where VMs find each other at run time. The id of each VM is then its
+  /// IP address, and a VM that knows the secret becomes a peer when it
+  /// connects, with the port of `listen`.
+  bool accept_unlisted_peers = false;
+
   /// Largest payload of one message, in bytes.
   size_t max_message_bytes = 4 << 20;
   /// Bounds of the queue to one peer.
--- a/camphorsail/process/option_spec.cc
+++ b/camphorsail/process/option_spec.cc
@@ -118,6 +118,36 @@
           }};
 }
 
+/// A listener that the daemon opens only when an address is given.
+OptionSpec OptionalListenOption(std::string name,
+                                std::string help,
+                                NetworkAddress Options::*member) {
+  OptionSpec spec = ListenOption(std::move(name), "", std::move(help), member);
+  spec.allowed = "IP:port, or empty for none";
+  spec.store = [store = spec.store](const std::string& text, Options* options) {
+    return text.empty() || store(text, options);
+  };
+  return spec;
+}
+
+bool StoreSeeds(const std::string& text, Options* options) {
+  options->seeds.clear();
+  for (const auto& item : absl::StrSplit(text, ',', absl::SkipEmpty())) {
+    const Expected<NetworkAddress> address =
+        ParseNetworkAddress(std::string_view(item.data(), item.size()));
+    if (!address) {
+      return false;
+    }
+    options->seeds.push_back(*address);
+  }
+  return true;
+}
+
+bool StoreRatio(const std::string& text, Options* options) {
+  return absl::SimpleAtod(text, &options->retry_ratio) &&
+         options->retry_ratio >= 0 && options->retry_ratio <= 1;
+}
+
 bool StoreRoles(const std::string& text, Options* options) {
   Roles roles;
   for (const std::string& role :
@@ -128,6 +158,8 @@
       roles.replica = true;
     } else if (role == "relay") {
       roles.relay = true;
+    } else if (role == "gateway") {
+      roles.gateway = true;
     } else {
       return false;
     }
@@ -179,7 +211,7 @@
       {"failure-domain", "", kNameForm, "Failure domain of this VM.",
        StoreId(&Options::failure_domain)},
       {"roles", "entry,replica,relay",
-       "a comma-separated list of entry, replica and relay",
+       "a comma-separated list of entry, replica and relay, or gateway alone",
        "Parts that this daemon plays.", StoreRoles},
       ListenOption("caller-listen", "127.0.0.1:8080", "Address for callers.",
                    &Options::caller_listen),
@@ -194,6 +226,52 @@
                    &Options::peer_listen),
       {"peers", "", "VM=IP:port, comma-separated, with ports above 0",
        "The other daemons and their peer addresses.", StorePeers},
+      OptionalListenOption("platform-listen",
+                           "Address of the deployment's own protocol for "
+                           "backend servers and operators.",
+                           &Options::platform_listen),
+      OptionalListenOption("gateway-listen",
+                           "Address at which a gateway takes requests.",
+                           &Options::gateway_listen),
+      OptionalListenOption("ready-listen",
+                           "Address at which a gateway tells whether it is "
+                           "ready.",
+                           &Options::ready_listen),
+      {"seeds", "", "IP:port, comma-separated",
+       "Daemons to join through. Each daemon's id is then its IP address, and "
+       "all use the port of peer-listen.",
+       StoreSeeds},
+      {"found-group", "true", "true or false",
+       "Whether the seeds may found a new group.",
+       [](const std::string& value, Options* options) {
+         options->found_group = value == "true";
+         return value == "true" || value == "false";
+       }},
+      IntegerOption("target-voters", 3, 1, kMaxInitialVoters,
+                    "Voters that a group with seeds keeps.",
+                    [](int64_t value, Options* options) {
+                      options->target_voters = static_cast<int>(value);
+                    }),
+      IntegerOption("gateway-lease-ms", 4000, 500, 60000,
+                    "Milliseconds that a gateway goes on after a replica last "
+                    "confirmed its routing table.",
+                    [](int64_t value, Options* options) {
+                      options->gateway_lease = absl::Milliseconds(value);
+                    }),
+      {"retry-ratio", "0.1", "a number from 0 to 1",
+       "Retries of all gateways together, as a part of a service's requests.",
+       StoreRatio},
+      IntegerOption("retry-slack", 10, 0, 100000,
+                    "Retries to a service in one retry window besides that "
+                    "part.",
+                    [](int64_t value, Options* options) {
+                      options->retry_slack = static_cast<int>(value);
+                    }),
+      IntegerOption("retry-window-s", 10, 1, 600,
+                    "Seconds over which retries are counted.",
+                    [](int64_t value, Options* options) {
+                      options->retry_window = absl::Seconds(value);
+                    }),
       IntegerOption("initial-voters", 0, 0, kMaxInitialVoters,
                     "Voters of the first membership; 0 means all daemons, at "
                     "most 7.",
@@ -307,6 +385,19 @@
         "initial-voters and peers: ", options.initial_voters, " voters, but ",
         vms.size(), " daemons; allowed are 0 to ", vms.size()));
   }
+  if (options.roles.gateway && options.roles != Roles{.gateway = true}) {
+    clashes.push_back("roles: gateway stands alone");
+  }
+  if (options.roles.gateway &&
+      (options.gateway_listen.port == 0 || options.ready_listen.port == 0 ||
+       options.seeds.empty())) {
+    clashes.push_back(
+        "roles: gateway needs gateway-listen, ready-listen and seeds");
+  }
+  if (!options.seeds.empty() && options.vm.value() != options.peer_listen.ip) {
+    clashes.push_back(
+        "vm and seeds: with seeds, vm must be the IP address of peer-listen");
+  }
   const auto require_secret = [&](const char* name, const std::string& secret,
                                   bool needed, const char* reason) {
     if (needed && secret.empty()) {
@@ -314,12 +405,13 @@
     }
   };
   require_secret("peer-secret-file", options.peer_secret,
-                 !options.peers.empty(), "with peers");
+                 !options.peers.empty() || !options.seeds.empty(),
+                 "with peers or seeds");
   require_secret("announce-secret-file", options.announce_secret,
                  options.roles.entry || options.roles.relay,
                  "for the roles entry and relay");
-  require_secret("admin-secret-file", options.admin_secret, true,
-                 "for every daemon");
+  require_secret("admin-secret-file", options.admin_secret,
+                 !options.roles.gateway, "for every daemon but a gateway");
   return clashes;
 }
 
--- a/camphorsail/process/options.cc
+++ b/camphorsail/process/options.cc
@@ -4,14 +4,17 @@
 
 #include <algorithm>
 #include <array>
+#include <fstream>
 #include <map>
 #include <memory>
 #include <set>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "absl/strings/str_join.h"
+#include "absl/strings/str_split.h"
 #include "camphorsail/process/command_line.h"
 #include "camphorsail/process/log_event.h"
 #include "camphorsail/process/option_spec.h"
@@ -26,6 +29,7 @@
 /// operator's shell may find them set.
 constexpr std::array<const char*, 1> kVariablesOfOtherPrograms = {
     "CAMPHORSAIL_ADMIN"};
+constexpr char kNodeFileVariable[] = "CAMPHORSAIL_NODE_FILE";
 
 /// A setting's text and where it comes from.
 struct SourcedValue {
@@ -38,6 +42,7 @@
 /// What the command line asks for.
 struct CommandLine {
   std::map<std::string, std::string> values;
+  std::string node_file;
   bool check = false;
   bool help = false;
   bool version = false;
@@ -51,6 +56,8 @@
     TCLAP::CmdLine parser("", ' ', CAMPHORSAIL_VERSION,
                           /*helpAndVersion=*/false);
     parser.setExceptionHandling(false);
+    TCLAP::ValueArg<std::string> node_file("", "node-file", "", false, "",
+                                           "value", parser);
     TCLAP::SwitchArg check("", "check", "", parser);
     TCLAP::SwitchArg help("", "help", "", parser);
     TCLAP::SwitchArg version("", "version", "", parser);
@@ -65,6 +72,7 @@
         result.values[flag->getName()] = flag->getValue();
       }
     }
+    result.node_file = node_file.getValue();
     result.check = check.getValue();
     result.help = help.getValue();
     result.version = version.getValue();
@@ -78,8 +86,8 @@
 std::string HelpText() {
   std::string text =
       "camphorsaild - router for language-model traffic\n\n"
-      "Each setting is a flag, a variable and a default; a flag overrides a "
-      "variable,\nwhich overrides the default.\n\n";
+      "Each setting is a flag, a variable, a line of the settings file and a "
+      "default;\neach overrides what follows it.\n\n";
   for (const OptionSpec& spec : OptionsTable()) {
     absl::StrAppend(&text, "  --", spec.name, " VALUE  (",
                     VariableName(spec.name), ")\n      ", spec.help,
@@ -90,6 +98,10 @@
                     "\n");
   }
   absl::StrAppend(&text,
+                  "  --node-file FILE  (CAMPHORSAIL_NODE_FILE)\n"
+                  "      Settings file: lines 'name = value' with the names of "
+                  "the flags; a line\n      without a value sets nothing, and "
+                  "'#' begins a comment.\n"
                   "  --check    Print the settings with their sources and "
                   "exit.\n"
                   "  --version  Print the version and exit.\n"
@@ -104,6 +116,7 @@
     const std::map<std::string, std::string>& variables) {
   std::set<std::string> known(kVariablesOfOtherPrograms.begin(),
                               kVariablesOfOtherPrograms.end());
+  known.insert(kNodeFileVariable);
   for (const OptionSpec& spec : OptionsTable()) {
     known.insert(VariableName(spec.name));
   }
@@ -118,6 +131,40 @@
   return errors;
 }
 
+/// Reads the settings file into `values`.
+/// @return One error per line that is not understood, or for the whole file.
+std::vector<std::string> ReadNodeFile(
+    const std::string& path,
+    std::map<std::string, std::string>* values) {
+  std::ifstream file(path);
+  if (!file) {
+    return {absl::StrCat("settings file ", path, ": cannot be read")};
+  }
+  std::set<std::string> names;
+  for (const OptionSpec& spec : OptionsTable()) {
+    names.insert(spec.name);
+  }
+  std::vector<std::string> errors;
+  std::string line;
+  for (int number = 1; std::getline(file, line); ++number) {
+    const absl::string_view text = absl::StripAsciiWhitespace(line);
+    if (text.empty() || text.front() == '#') {
+      continue;
+    }
+    const std::pair<absl::string_view, absl::string_view> parts =
+        absl::StrSplit(text, absl::MaxSplits('=', 1));
+    const std::string name(absl::StripAsciiWhitespace(parts.first));
+    const std::string value(absl::StripAsciiWhitespace(parts.second));
+    if (!names.contains(name) || !absl::StrContains(text, "=")) {
+      errors.push_back(absl::StrCat("settings file ", path, ", line ", number,
+                                    ": no setting '", name, "'"));
+    } else if (!value.empty()) {
+      (*values)[name] = value;
+    }
+  }
+  return errors;
+}
+
 OptionsOutcome FailWith(const std::vector<std::string>& errors) {
   OptionsOutcome outcome;
   outcome.exit_code = kUsageError;
@@ -140,6 +187,9 @@
   if (roles.relay) {
     names.emplace_back("relay");
   }
+  if (roles.gateway) {
+    names.emplace_back("gateway");
+  }
   return absl::StrJoin(names, ",");
 }
 
@@ -165,6 +215,16 @@
     }
   }
   std::vector<std::string> errors = FindUnknownVariables(variables);
+  std::string node_file = command_line.node_file;
+  if (node_file.empty() && variables.contains(kNodeFileVariable)) {
+    node_file = variables[kNodeFileVariable];
+  }
+  std::map<std::string, std::string> file_values;
+  if (!node_file.empty()) {
+    const std::vector<std::string> file_errors =
+        ReadNodeFile(node_file, &file_values);
+    errors.insert(errors.end(), file_errors.begin(), file_errors.end());
+  }
   Options options;
   std::string listing;
   for (const OptionSpec& spec : OptionsTable()) {
@@ -177,6 +237,9 @@
     } else if (const auto it = variables.find(variable);
                it != variables.end()) {
       chosen = {it->second, absl::StrCat("variable ", variable), true};
+    } else if (const auto line = file_values.find(spec.name);
+               line != file_values.end()) {
+      chosen = {line->second, absl::StrCat("file ", node_file), true};
     }
     if (chosen.is_set && !spec.store(chosen.value, &options)) {
       errors.push_back(absl::StrCat(
--- a/camphorsail/process/options.h
+++ b/camphorsail/process/options.h
@@ -23,6 +23,9 @@
   bool replica = false;
   /// Takes announcements of backend servers and forwards them.
   bool relay = false;
+  /// Forwards requests by the routing table. Stands alone: a gateway keeps no
+  /// replica.
+  bool gateway = false;
 
   friend bool operator==(const Roles&, const Roles&) = default;
 };
@@ -43,6 +46,26 @@
   NetworkAddress announce_listen;
   NetworkAddress admin_listen;
   NetworkAddress peer_listen;
+  /// Where backend servers register and operators set the routing table, by the
+  /// deployment's own protocol; port 0 for none.
+  NetworkAddress platform_listen;
+  /// Where a gateway takes requests, and where it is asked whether it is ready.
+  NetworkAddress gateway_listen;
+  NetworkAddress ready_listen;
+  /// Daemons to join through. When set, daemons find each other at run time,
+  /// the id of each is its IP address, and all use the port of `peer_listen`.
+  std::vector<NetworkAddress> seeds;
+  /// True when the seeds may found a new group.
+  bool found_group = true;
+  /// Voters that a group with seeds keeps.
+  int target_voters = 0;
+  /// How long a gateway goes on after a replica last confirmed its table.
+  absl::Duration gateway_lease;
+  /// Retries that all gateways together may send to a service in any window of
+  /// `retry_window`: this part of its requests, and this many besides.
+  double retry_ratio = 0;
+  int retry_slack = 0;
+  absl::Duration retry_window;
   /// The other daemons; does not contain `vm`.
   std::vector<PeerAddress> peers;
   /// Voters of the initial membership, counted from the lowest `VmId`.
--- a/camphorsail/process/signal_watcher.cc
+++ b/camphorsail/process/signal_watcher.cc
@@ -16,8 +16,9 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   if (pthread_sigmask(SIG_BLOCK, &signals, nullptr) != 0) {
-    return Fail(ErrorKind::kInternal, "cannot block SIGTERM and SIGINT");
+    return Fail(ErrorKind::kInternal, "cannot block the signals");
   }
   std::signal(SIGPIPE, SIG_IGN);
   const int fd = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
--- a/camphorsail/process/signal_watcher.h
+++ b/camphorsail/process/signal_watcher.h
@@ -8,10 +8,11 @@
 
 namespace camphorsail {
 
-/// Turns SIGTERM and SIGINT into a readable descriptor, so that a stop is
-/// handled by ordinary code. Blocks both signals in the creating thread; create
-/// it in `main` before any other thread, which then inherits the mask. Ignores
-/// SIGPIPE, because a closed socket is reported by the call that writes to it.
+/// Turns SIGTERM, SIGINT and SIGHUP into a readable descriptor, so that a stop
+/// or a reload is handled by ordinary code. Blocks the signals in the creating
+/// thread; create it in `main` before any other thread, which then inherits the
+/// mask. Ignores SIGPIPE, because a closed socket is reported by the call that
+/// writes to it.
 class SignalWatcher {
  public:
   /// @return The watcher. Error: `kInternal`.
@@ -27,7 +28,7 @@
   /// Waits for a signal and takes it.
   ///
   /// @param timeout `absl::InfiniteDuration()` waits without a limit.
-  /// @return SIGTERM or SIGINT; 0 after the timeout.
+  /// @return SIGTERM, SIGINT or SIGHUP; 0 after the timeout.
   int Wait(absl::Duration timeout);
 
  private:
--- /dev/null
+++ b/camphorsail/routing/route_index.cc
@@ -0,0 +1,59 @@
+#include "camphorsail/routing/route_index.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/ascii.h"
+
+namespace camphorsail {
+
+RouteIndex::RouteIndex(Ref<SharedRoutingTable> table)
+    : table_(std::move(table)) {
+  for (const Route& route : table_->table.routes) {
+    routes_[absl::AsciiStrToLower(route.host)].push_back(&route);
+  }
+  for (auto& [host, routes] : routes_) {
+    std::stable_sort(routes.begin(), routes.end(),
+                     [](const Route* a, const Route* b) {
+                       return a->path_prefix.size() > b->path_prefix.size();
+                     });
+  }
+  for (const AccountKeys& account : table_->table.accounts) {
+    for (const std::string& key : account.api_keys) {
+      accounts_.emplace(key, &account);
+    }
+  }
+  for (const ServiceProfile& service : table_->table.services) {
+    services_.emplace(service.name, &service);
+  }
+}
+
+const Route* RouteIndex::FindRoute(std::string_view host,
+                                   std::string_view path) const {
+  const std::string_view name = host.substr(0, host.find(':'));
+  const auto found = routes_.find(
+      absl::AsciiStrToLower(absl::string_view(name.data(), name.size())));
+  if (found == routes_.end()) {
+    return nullptr;
+  }
+  const std::string_view plain_path = path.substr(0, path.find('?'));
+  for (const Route* route : found->second) {
+    if (plain_path.starts_with(route->path_prefix)) {
+      return route;
+    }
+  }
+  return nullptr;
+}
+
+const AccountKeys* RouteIndex::FindAccount(std::string_view api_key) const {
+  const auto found =
+      accounts_.find(absl::string_view(api_key.data(), api_key.size()));
+  return found == accounts_.end() ? nullptr : found->second;
+}
+
+const ServiceProfile* RouteIndex::FindService(const ModelId& service) const {
+  const auto found = services_.find(service);
+  return found == services_.end() ? nullptr : found->second;
+}
+
+}  // namespace camphorsail
--- /dev/null
+++ b/camphorsail/routing/routing_table.cc
@@ -0,0 +1,77 @@
+#include "camphorsail/routing/routing_table.h"
+
+#include <map>
+#include <set>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace camphorsail {
+namespace {
+
+Expected<void> ValidateRoute(const Route& route,
+                             const std::set<ModelId>& services) {
+  const auto fail = [&](const auto&... what) {
+    return Fail(ErrorKind::kSettingsInvalid,
+                absl::StrCat("route '", route.name, "': ", what...));
+  };
+  if (!route.path_prefix.starts_with('/') ||
+      !route.path_prefix.ends_with('/')) {
+    return fail("the path prefix must begin and end with a slash");
+  }
+  if (route.timeout_ms <= 0) {
+    return fail("the timeout must be above 0");
+  }
+  double sum = 0;
+  for (const RouteTarget& target : route.targets) {
+    if (!services.contains(target.service)) {
+      return fail("unknown service '", target.service.value(), "'");
+    }
+    if (target.weight < 0) {
+      return fail("a weight is negative");
+    }
+    sum += target.weight;
+  }
+  if (sum <= 0) {
+    return fail("the weights sum to 0");
+  }
+  return {};
+}
+
+}  // namespace
+
+Expected<void> RoutingTable::Validate() const {
+  std::set<ModelId> names;
+  for (const ServiceProfile& service : services) {
+    if (!names.insert(service.name).second) {
+      return Fail(
+          ErrorKind::kSettingsInvalid,
+          absl::StrCat("service '", service.name.value(), "' appears twice"));
+    }
+  }
+  std::set<std::pair<std::string, std::string>> places;
+  for (const Route& route : routes) {
+    if (Expected<void> valid = ValidateRoute(route, names); !valid) {
+      return valid;
+    }
+    if (!places.emplace(route.host, route.path_prefix).second) {
+      return Fail(ErrorKind::kSettingsInvalid,
+                  absl::StrCat("two routes have host '", route.host,
+                               "' and prefix '", route.path_prefix, "'"));
+    }
+  }
+  std::map<std::string, ClientAccountId> owners;
+  for (const AccountKeys& account : accounts) {
+    for (const std::string& key : account.api_keys) {
+      const auto [owner, inserted] = owners.emplace(key, account.account);
+      if (!inserted && owner->second != account.account) {
+        return Fail(ErrorKind::kSettingsInvalid,
+                    absl::StrCat("accounts '", owner->second.value(), "' and '",
+                                 account.account.value(), "' share a key"));
+      }
+    }
+  }
+  return {};
+}
+
+}  // namespace camphorsail
--- a/camphorsail/runtime/control_runtime.cc
+++ b/camphorsail/runtime/control_runtime.cc
@@ -3,8 +3,8 @@
 #include <utility>
 
 #include "absl/time/clock.h"
+#include "camphorsail/base/monotonic_clock.h"
 #include "camphorsail/base/random.h"
-#include "camphorsail/http/monotonic_clock.h"
 
 namespace camphorsail {
 namespace {
@@ -76,10 +76,26 @@
 }
 
 void ControlRuntime::Post(ControlEvent event) {
-  absl::MutexLock lock(&mutex_);
-  if (!stopping_) {
-    events_.push_back(std::move(event));
+  {
+    absl::MutexLock lock(&mutex_);
+    if (!stopping_) {
+      events_.push_back(std::move(event));
+    }
+  }
+  waker_.Wake();
+}
+
+void ControlRuntime::WhenCurrent(CurrentCallback callback) {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (stopping_) {
+      return;
+    }
+    const uint64_t id = next_id_++;
+    callbacks_.emplace(id, std::move(callback));
+    events_.push_back(ReadEvent{id});
   }
+  waker_.Wake();
 }
 
 Expected<CommandResult> ControlRuntime::Submit(CommandBody body) {
@@ -91,6 +107,7 @@
   const uint64_t id = next_id_++;
   submissions_.emplace(id, &waiter);
   events_.push_back(SubmitEvent{id, std::move(body)});
+  waker_.Wake();
   mutex_.Await(absl::Condition(&waiter.done));
   return std::move(waiter.value);
 }
@@ -104,6 +121,7 @@
   const uint64_t id = next_id_++;
   reads_.emplace(id, &waiter);
   events_.push_back(ReadEvent{id});
+  waker_.Wake();
   mutex_.Await(absl::Condition(&waiter.done));
   return std::move(waiter.value);
 }
@@ -120,6 +138,7 @@
     absl::MutexLock inner_lock(&mutex_);
     done = true;
   });
+  waker_.Wake();
   mutex_.Await(absl::Condition(&done));
 }
 
@@ -131,6 +150,7 @@
   }
   leaves_.push_back(&waiter);
   events_.push_back(LeaveEvent{});
+  waker_.Wake();
   mutex_.Await(absl::Condition(&waiter.done));
   return waiter.value;
 }
@@ -140,6 +160,7 @@
     absl::MutexLock lock(&mutex_);
     stopping_ = true;
   }
+  waker_.Wake();
   if (thread_.joinable()) {
     thread_.join();
   }
@@ -151,13 +172,9 @@
   while (true) {
     std::deque<ControlEvent> events;
     std::deque<std::function<void(const ControlNode&)>> inspections;
+    waker_.Wait(next_tick - MonotonicNow());
     {
       absl::MutexLock lock(&mutex_);
-      const auto has_work = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
-        return stopping_ || !events_.empty() || !inspections_.empty();
-      };
-      mutex_.AwaitWithTimeout(absl::Condition(&has_work),
-                              next_tick - MonotonicNow());
       events.swap(events_);
       inspections.swap(inspections_);
       if (stopping_ && events.empty() && inspections.empty()) {
@@ -228,6 +245,19 @@
 }
 
 void ControlRuntime::Do(const ReadReadyAction& action) {
+  CurrentCallback callback;
+  {
+    absl::MutexLock lock(&mutex_);
+    if (const auto waiting = callbacks_.find(action.read_id);
+        waiting != callbacks_.end()) {
+      callback = std::move(waiting->second);
+      callbacks_.erase(waiting);
+    }
+  }
+  if (callback) {
+    callback(action.result, *node_);
+    return;
+  }
   absl::MutexLock lock(&mutex_);
   const auto position = reads_.find(action.read_id);
   if (position != reads_.end()) {
@@ -254,6 +284,10 @@
   hooks_.note(action);
 }
 
+void ControlRuntime::Do(const PublishRoutingAction& action) {
+  hooks_.publish_routing(action.table);
+}
+
 void ControlRuntime::Do(const PublishLimitsAction& action) {
   hooks_.publish_limits(action);
 }
--- a/camphorsail/runtime/control_runtime.h
+++ b/camphorsail/runtime/control_runtime.h
@@ -15,6 +15,7 @@
 #include "absl/time/time.h"
 #include "camphorsail/base/error.h"
 #include "camphorsail/control/control_node.h"
+#include "camphorsail/net/waker.h"
 #include "camphorsail/runtime/control_runtime_hooks.h"
 #include "camphorsail/runtime/storage_thread.h"
 
@@ -55,6 +56,13 @@
   /// @return `kQuorumLost` when no leader confirmed that.
   Expected<void> WaitUntilCurrent();
 
+  /// Calls `callback` on the control thread once this VM's state contains
+  /// everything committed before the call, or with `kQuorumLost`.
+  /// @param callback Must not block. Not called when the runtime stops before.
+  using CurrentCallback =
+      std::function<void(const Expected<void>& result, const ControlNode&)>;
+  void WhenCurrent(CurrentCallback callback);
+
   /// Runs a function on the control thread and waits for it.
   /// @param function Must not block.
   void Inspect(const std::function<void(const ControlNode&)>& function);
@@ -94,11 +102,13 @@
   void Do(const EngineCallAction& action);
   void Do(const ControlNoteAction& action);
   void Do(const PublishLimitsAction& action);
+  void Do(const PublishRoutingAction& action);
 
   /// Used on the control thread only.
   std::unique_ptr<ControlNode> node_;
   std::vector<ControlAction> actions_;
   const ControlRuntimeHooks hooks_;
+  Waker waker_;
 
   absl::Mutex mutex_;
   std::deque<ControlEvent> events_ ABSL_GUARDED_BY(mutex_);
@@ -109,6 +119,7 @@
   std::map<uint64_t, Waiter<Expected<CommandResult>>*> submissions_
       ABSL_GUARDED_BY(mutex_);
   std::map<uint64_t, Waiter<Expected<void>>*> reads_ ABSL_GUARDED_BY(mutex_);
+  std::map<uint64_t, CurrentCallback> callbacks_ ABSL_GUARDED_BY(mutex_);
   std::vector<Waiter<bool>*> leaves_ ABSL_GUARDED_BY(mutex_);
 
   std::unique_ptr<StorageThread> storage_;
--- a/camphorsail/runtime/control_runtime_hooks.h
+++ b/camphorsail/runtime/control_runtime_hooks.h
@@ -19,6 +19,7 @@
   /// Its outcome is posted as `EngineCallResultEvent`.
   std::function<void(const EngineCallAction&)> call_engine;
   std::function<void(const ControlNoteAction&)> note;
+  std::function<void(const Ref<SharedRoutingTable>&)> publish_routing;
   /// The disk failed. Nothing may be acknowledged any more, so the process has
   /// to stop.
   std::function<void(const Error&)> storage_failed;
--- a/camphorsail/runtime/daemon.cc
+++ b/camphorsail/runtime/daemon.cc
@@ -6,9 +6,9 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
+#include "camphorsail/base/monotonic_clock.h"
 #include "camphorsail/base/msgpack_bytes.h"
 #include "camphorsail/base/secret_equal.h"
-#include "camphorsail/http/monotonic_clock.h"
 #include "camphorsail/process/log_event.h"
 #include "camphorsail/runtime/ledger_bridge.h"
 #include "camphorsail/runtime/load_digest_codec.h"
@@ -33,6 +33,24 @@
   return RequestId((start << 23) | ((RandomSeed() & 0x7) << 20));
 }
 
+// A peer that was unreachable for this long is forgotten; it becomes one again
+// when it connects or when something is sent to it.
+constexpr absl::Duration kForgetPeerAfter = absl::Seconds(20);
+constexpr int kPlatformWorkers = 12;
+// Without the entry role only the directory needs ticks.
+constexpr absl::Duration kIdleTick = absl::Milliseconds(100);
+
+/// The daemons to join through, apart from this one.
+std::vector<PeerAddress> SeedPeers(const Options& options) {
+  std::vector<PeerAddress> peers;
+  for (const NetworkAddress& seed : options.seeds) {
+    if (seed.ip != options.peer_listen.ip) {
+      peers.push_back({VmId(seed.ip), {seed.ip, options.peer_listen.port}});
+    }
+  }
+  return peers;
+}
+
 std::vector<VmId> PeerIds(const Options& options) {
   std::vector<VmId> ids;
   for (const PeerAddress& peer : options.peers) {
@@ -71,6 +89,15 @@
                             : kDefaultVoters;
   vms.resize(std::min(vms.size(), voters));
   settings.replica.voter_vms = std::move(vms);
+  if (!options.seeds.empty()) {
+    settings.replica.voter_vms.clear();
+    for (const NetworkAddress& seed : options.seeds) {
+      settings.replica.voter_vms.push_back(VmId(seed.ip));
+    }
+    settings.replica.may_found_group = options.found_group;
+    settings.replica.target_voters = static_cast<size_t>(options.target_voters);
+    settings.replica.admission_lease = options.roles.entry;
+  }
   settings.registration.vm = options.vm;
   settings.registration.incarnation =
       Incarnation(static_cast<uint64_t>(absl::ToUnixMicros(absl::Now())));
@@ -119,7 +146,17 @@
                    message.payload = std::move(payload);
                    return peers_->Send(to, std::move(message)) ==
                           PeerSendResult::kQueued;
-                 }) {}
+                 }),
+      gateways_({[this](ControlRuntime::CurrentCallback callback) {
+                   control_->WhenCurrent(std::move(callback));
+                 },
+                 [this](const VmId& gateway, const GatewayUpdate& update) {
+                   PeerMessage message;
+                   message.channel = PeerChannel::kGatewayUpdate;
+                   message.payload = PackBytes(update);
+                   SendTo(gateway, std::move(message));
+                 },
+                 [] { return MonotonicNow(); }}) {}
 
 Expected<std::unique_ptr<Daemon>> Daemon::Create(const Options& options) {
   if (Expected<void> valid = MakeSchedulerSettings(options).Validate();
@@ -127,11 +164,13 @@
     return tl::unexpected<Error>(valid.error());
   }
   std::unique_ptr<Daemon> daemon(new Daemon(options));
-  EntryShardSettings shard_settings;
-  shard_settings.body_timeout = options.body_timeout;
-  daemon->entry_ = std::make_unique<EntryRuntime<Scheduler>>(
-      shard_settings, static_cast<size_t>(options.shards), FirstRequestId(),
-      &daemon->scheduler_, daemon->MakeEntryHooks());
+  if (options.roles.entry) {
+    EntryShardSettings shard_settings;
+    shard_settings.body_timeout = options.body_timeout;
+    daemon->entry_ = std::make_unique<EntryRuntime<Scheduler>>(
+        shard_settings, static_cast<size_t>(options.shards), FirstRequestId(),
+        &daemon->scheduler_, daemon->MakeEntryHooks());
+  }
   for (Expected<void> (Daemon::*start)() :
        {&Daemon::StartControl, &Daemon::StartPeers, &Daemon::StartListeners}) {
     if (Expected<void> started = (daemon.get()->*start)(); !started) {
@@ -144,15 +183,14 @@
 }
 
 Daemon::~Daemon() {
-  {
-    absl::MutexLock lock(&mutex_);
-    stopping_ = true;
-  }
+  stopping_ = true;
+  tick_waker_.Wake();
   if (tick_thread_.joinable()) {
     tick_thread_.join();
   }
   // Threads that call into other parts stop before the parts they call.
   callers_.reset();
+  platform_.reset();
   operators_.reset();
   announcements_.reset();
   if (peers_ != nullptr) {
@@ -188,12 +226,21 @@
   settings.vm = options_.vm;
   settings.listen = options_.peer_listen;
   settings.peers = options_.peers;
+  if (!options_.seeds.empty()) {
+    settings.peers = SeedPeers(options_);
+    settings.accept_unlisted_peers = true;
+  }
   settings.secret = options_.peer_secret;
-  Expected<std::unique_ptr<PeerTransport>> peers =
-      PeerTransport::Create(std::move(settings), &clock_,
-                            [this](const VmId& from, PeerMessage message) {
-                              OnPeerMessage(from, std::move(message));
-                            });
+  Expected<std::unique_ptr<PeerTransport>> peers = PeerTransport::Create(
+      std::move(settings), &clock_,
+      [this](const VmId& from, PeerMessage message) {
+        OnPeerMessage(from, std::move(message));
+      },
+      [this](const VmId& /*peer*/, bool connected) {
+        if (connected) {
+          directory_.RequestDigest();
+        }
+      });
   if (!peers) {
     return tl::unexpected<Error>(peers.error());
   }
@@ -270,7 +317,9 @@
 ControlRuntimeHooks Daemon::MakeControlHooks() {
   ControlRuntimeHooks hooks;
   hooks.publish_settings = [this](const Ref<ControlSnapshot>& snapshot) {
-    entry_->StepAll(ControlSnapshotEvent{snapshot});
+    if (entry_ != nullptr) {
+      entry_->StepAll(ControlSnapshotEvent{snapshot});
+    }
     if (snapshot->settings_version == settings_in_force_) {
       return;
     }
@@ -280,17 +329,30 @@
         {{"version", absl::StrCat(snapshot->settings_version.value())}});
   };
   hooks.publish_lease = [this](MonoTime valid_until) {
-    entry_->StepAll(LeaseEvent{valid_until});
+    if (entry_ != nullptr) {
+      entry_->StepAll(LeaseEvent{valid_until});
+    }
   };
   hooks.publish_limits = [this](const PublishLimitsAction& action) {
-    entry_->limits().OnGrants(action.grants, action.report_sent_at,
-                              MonotonicNow());
+    if (entry_ != nullptr) {
+      entry_->limits().OnGrants(action.grants, action.report_sent_at,
+                                MonotonicNow());
+    }
   };
   hooks.send = [this](const VmId& to, const ControlMessage& message) {
     PeerMessage peer_message;
     peer_message.channel = PeerChannel::kConsensus;
     peer_message.payload = EncodeControlMessage(message);
-    peers_->Send(to, std::move(peer_message));
+    SendTo(to, std::move(peer_message));
+  };
+  hooks.publish_routing = [this](const Ref<SharedRoutingTable>& table) {
+    if (table->table.version > 0) {
+      LogEvent("routing_in_force")
+          .Add("version", table->table.version)
+          .Add("routes", table->table.routes.size())
+          .Add("accounts", table->table.accounts.size());
+      gateways_.OnTable(table);
+    }
   };
   hooks.ledger_answer = [this](const LedgerOpenAnsweredAction& action) {
     entry_->Post(action.request, MakeLedgerAnswer(action));
@@ -314,7 +376,9 @@
     ApplyServerChanges(changes);
   };
   hooks.on_targets = [this](const TargetsEvent& targets) {
-    entry_->StepAll(targets);
+    if (entry_ != nullptr) {
+      entry_->StepAll(targets);
+    }
   };
   hooks.send_deltas = [this](const ServerDeltaBatch& deltas) {
     SendToPeers(PeerChannel::kServerDelta, PackBytes(deltas), false);
@@ -390,7 +454,75 @@
       .Add("client", request.client_address)
       .Add("code", GetErrorTraits(error.kind).code)
       .Add("message", error.message);
-  return RouteTable::ErrorResponse(error, entry_->NewRequestId());
+  return RouteTable::ErrorResponse(
+      error, entry_ == nullptr ? RequestId() : entry_->NewRequestId());
+}
+
+Expected<void> Daemon::AddListener(const NetworkAddress& address,
+                                   RouteTable routes) {
+  Expected<std::unique_ptr<RouteServer>> server =
+      RouteServer::Create(MakeListenerSettings(options_, address),
+                          std::move(routes), kPlatformWorkers);
+  if (!server) {
+    return tl::unexpected<Error>(server.error());
+  }
+  platform_ = *std::move(server);
+  return {};
+}
+
+Expected<uint64_t> Daemon::SetRouting(RoutingTable table) {
+  Expected<CommandResult> result = control_->Submit(std::move(table));
+  if (!result) {
+    return tl::unexpected<Error>(result.error());
+  }
+  if (result->error) {
+    return tl::unexpected<Error>(*result->error);
+  }
+  return result->settings_version.value();
+}
+
+Expected<Ref<SharedRoutingTable>> Daemon::GetRouting() {
+  if (Expected<void> current = control_->WaitUntilCurrent(); !current) {
+    return tl::unexpected<Error>(current.error());
+  }
+  Ref<SharedRoutingTable> table;
+  control_->Inspect(
+      [&](const ControlNode& node) { table = node.state().routing(); });
+  if (!table) {
+    return Fail(ErrorKind::kShuttingDown, "the control path has stopped");
+  }
+  return table;
+}
+
+Expected<void> Daemon::OnAnnouncement(const ServerAnnouncement& announcement) {
+  return directory_.Announce(announcement, MonotonicNow());
+}
+
+Expected<void> Daemon::OnServerLeft(const BackendServerId& server) {
+  return directory_.Leave(server, MonotonicNow());
+}
+
+void Daemon::SendTo(const VmId& to, PeerMessage message) {
+  if (peers_->Send(to, message) == PeerSendResult::kUnknownPeer &&
+      !options_.seeds.empty() &&
+      peers_->AddPeer({to, {to.value(), options_.peer_listen.port}})) {
+    peers_->Send(to, std::move(message));
+  }
+}
+
+void Daemon::ForgetLostPeers(MonoTime now) {
+  for (const PeerStats& peer : peers_->Stats()) {
+    if (peer.outbound_connected) {
+      unreachable_since_.erase(peer.vm);
+      continue;
+    }
+    const auto since = unreachable_since_.emplace(peer.vm, now).first;
+    if (now - since->second >= kForgetPeerAfter) {
+      LogEvent("peer_forgotten").Add("peer", peer.vm);
+      peers_->RemovePeer(peer.vm);
+      unreachable_since_.erase(since);
+    }
+  }
 }
 
 void Daemon::OnPeerMessage(const VmId& from, PeerMessage message) {
@@ -435,6 +567,12 @@
         stop_requested_ = true;
       }
       return;
+    case PeerChannel::kGatewayPoll: {
+      if (const auto poll = UnpackBytes<GatewayPoll>(message.payload)) {
+        gateways_.OnPoll(from, *poll);
+      }
+      return;
+    }
     case PeerChannel::kTimeline:
       collector_.OnMessage(from, message.payload);
       return;
@@ -471,12 +609,21 @@
 void Daemon::SendToPeers(PeerChannel channel,
                          const std::string& payload,
                          bool replaceable) {
-  for (const PeerAddress& peer : options_.peers) {
+  std::vector<VmId> targets = PeerIds(options_);
+  if (!options_.seeds.empty()) {
+    // What an unreachable peer misses is repaired by digests.
+    for (const PeerStats& peer : peers_->Stats()) {
+      if (peer.outbound_connected) {
+        targets.push_back(peer.vm);
+      }
+    }
+  }
+  for (const VmId& vm : targets) {
     PeerMessage message;
     message.channel = channel;
     message.payload = payload;
     message.replaceable = replaceable;
-    peers_->Send(peer.vm, std::move(message));
+    peers_->Send(vm, std::move(message));
   }
 }
 
@@ -490,7 +637,9 @@
     journal_.Record("server_unavailable", {{"server", server.value()}});
     scheduler_.OnServerRemoved(server, now, &actions);
   }
-  entry_->Route(std::move(actions));
+  if (entry_ != nullptr) {
+    entry_->Route(std::move(actions));
+  }
 }
 
 void Daemon::PostEngines(MonoTime now) {
@@ -512,23 +661,27 @@
 }
 
 bool Daemon::IsReady() const {
-  return !leaving_ && options_.roles.entry && entry_->IsReady();
+  return !leaving_ && entry_ != nullptr && entry_->IsReady();
 }
 
 void Daemon::RunTicks() {
   MonoTime next_directory_tick = MonotonicNow();
   while (true) {
-    {
-      absl::MutexLock lock(&mutex_);
-      if (mutex_.AwaitWithTimeout(absl::Condition(&stopping_), options_.tick)) {
-        return;
-      }
+    tick_waker_.Wait(entry_ != nullptr ? options_.tick : kIdleTick);
+    if (stopping_) {
+      return;
     }
     const MonoTime now = MonotonicNow();
     if (now >= next_directory_tick) {
       next_directory_tick = now + kDirectoryTick;
       directory_.Tick(now);
       PostEngines(now);
+      if (!options_.seeds.empty()) {
+        ForgetLostPeers(now);
+      }
+    }
+    if (entry_ == nullptr) {
+      continue;
     }
     if (std::vector<LimitDemand> demands = entry_->limits().PollDemand(now);
         !demands.empty()) {
@@ -542,13 +695,17 @@
   leaving_ = true;
   journal_.Record("drain_started", {});
   // Requests that the balancer still sends meanwhile are served.
-  absl::SleepFor(options_.drain_delay);
-  entry_->StepAll(DrainEvent{});
-  const MonoTime limit = MonotonicNow() + options_.drain_timeout;
-  while (entry_->in_progress() > 0 && MonotonicNow() < limit) {
-    absl::SleepFor(absl::Milliseconds(5));
+  const MonoTime limit =
+      MonotonicNow() + options_.drain_delay + options_.drain_timeout;
+  bool complete = true;
+  if (entry_ != nullptr) {
+    absl::SleepFor(options_.drain_delay);
+    entry_->StepAll(DrainEvent{});
+    while (entry_->in_progress() > 0 && MonotonicNow() < limit) {
+      absl::SleepFor(absl::Milliseconds(5));
+    }
+    complete = entry_->in_progress() == 0;
   }
-  const bool complete = entry_->in_progress() == 0;
   if (callers_ != nullptr) {
     // Answers that are complete still have to reach their callers.
     callers_->WaitUntilIdle(limit - MonotonicNow());
--- a/camphorsail/runtime/daemon.h
+++ b/camphorsail/runtime/daemon.h
@@ -7,19 +7,19 @@
 #include <string>
 #include <thread>
 
-#include "absl/base/thread_annotations.h"
-#include "absl/synchronization/mutex.h"
 #include "camphorsail/admin/admin_api.h"
 #include "camphorsail/base/error.h"
 #include "camphorsail/entry/locked_scheduler.h"
 #include "camphorsail/http/entry_runtime.h"
 #include "camphorsail/http/route_server.h"
 #include "camphorsail/http/stream_server.h"
+#include "camphorsail/net/waker.h"
 #include "camphorsail/peer/peer_transport.h"
 #include "camphorsail/peer/shared_hybrid_clock.h"
 #include "camphorsail/process/metrics.h"
 #include "camphorsail/process/options.h"
 #include "camphorsail/runtime/control_runtime.h"
+#include "camphorsail/runtime/gateway_sessions.h"
 #include "camphorsail/runtime/order_sender.h"
 #include "camphorsail/runtime/request_journal.h"
 #include "camphorsail/runtime/server_directory.h"
@@ -56,6 +56,25 @@
   uint16_t announcements_port() const { return announcements_->port(); }
   uint16_t operators_port() const { return operators_->port(); }
 
+  /// Opens a listener for the deployment's own protocol. Call once, after
+  /// `Create`.
+  /// @return `kSettingsInvalid` for an address that cannot be used.
+  Expected<void> AddListener(const NetworkAddress& address, RouteTable routes);
+
+  /// Commits a routing table that is valid.
+  /// @return The version in force, which is another one when the table is not
+  /// newer; `kQuorumLost` or `kOutcomeUnknown`.
+  Expected<uint64_t> SetRouting(RoutingTable table);
+  /// @return The routing table in force; `kQuorumLost` when this VM cannot be
+  /// sure which one is.
+  Expected<Ref<SharedRoutingTable>> GetRouting();
+  /// Takes an announcement of a backend server.
+  /// @return `kOverloaded` when too many servers are known.
+  Expected<void> OnAnnouncement(const ServerAnnouncement& announcement);
+  /// The server gets no new work from now on.
+  /// @return `kNotFound` for a server that is not known.
+  Expected<void> OnServerLeft(const BackendServerId& server);
+
   /// @return True when an operator asked for a drain or the disk failed.
   bool stop_requested() const { return stop_requested_; }
 
@@ -77,6 +96,11 @@
   HttpResponse Announce(const HttpRequest& request);
 
   Expected<void> RequestDrain(const VmId& vm);
+  /// Sends to a peer; a VM that is not known yet becomes a peer where VMs find
+  /// each other at run time.
+  void SendTo(const VmId& to, PeerMessage message);
+  /// Removes peers that have been unreachable for long.
+  void ForgetLostPeers(MonoTime now);
   void OnPeerMessage(const VmId& from, PeerMessage message);
   void SendToPeers(PeerChannel channel,
                    const std::string& payload,
@@ -99,11 +123,15 @@
   std::unique_ptr<ControlRuntime> control_;
   std::unique_ptr<OrderSender> order_sender_;
   std::unique_ptr<PeerTransport> peers_;
+  GatewaySessions gateways_;
   std::unique_ptr<AdminApi> admin_api_;
   RouteTable health_routes_;
   std::unique_ptr<StreamServer> callers_;
   std::unique_ptr<RouteServer> announcements_;
   std::unique_ptr<RouteServer> operators_;
+  std::unique_ptr<RouteServer> platform_;
+  /// Since when a peer is not connected. Used on the tick thread.
+  std::map<VmId, MonoTime> unreachable_since_;
 
   /// Version that the timeline last reported. Used on the control thread.
   SettingsVersion settings_in_force_;
@@ -111,8 +139,8 @@
   std::map<BackendServerId, EngineInfo> posted_engines_;
   std::atomic<bool> leaving_{false};
   std::atomic<bool> stop_requested_{false};
-  absl::Mutex mutex_;
-  bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
+  std::atomic<bool> stopping_{false};
+  Waker tick_waker_;
   std::thread tick_thread_;
 };
 
--- /dev/null
+++ b/camphorsail/runtime/gateway_daemon.cc
@@ -0,0 +1,262 @@
+#include "camphorsail/runtime/gateway_daemon.h"
+
+#include <sys/epoll.h>
+
+#include <algorithm>
+#include <csignal>
+#include <utility>
+
+#include "camphorsail/base/monotonic_clock.h"
+#include "camphorsail/base/msgpack_bytes.h"
+#include "camphorsail/gateway/gateway_poll.h"
+#include "camphorsail/process/log_event.h"
+#include "camphorsail/runtime/random_seed.h"
+
+namespace camphorsail {
+namespace {
+
+/// A change of the table also comes unasked; this is how soon a lost one is
+/// noticed. Several polls fit into a lease.
+constexpr absl::Duration kPollInterval = absl::Milliseconds(300);
+constexpr absl::Duration kDigestInterval = absl::Seconds(2);
+constexpr absl::Duration kRegistryTick = absl::Milliseconds(250);
+/// A server that announces to nobody for this long gets no new work. Failed
+/// attempts take a server out much sooner; a server may be cut off from the
+/// replicas and still serve.
+constexpr absl::Duration kServerSilence = absl::Seconds(10);
+constexpr absl::Duration kDrainCheck = absl::Milliseconds(50);
+/// Left of the drain time for the process to end.
+constexpr absl::Duration kExitMargin = absl::Milliseconds(400);
+
+GatewaySettings MakeSettings(const Options& options) {
+  GatewaySettings settings;
+  settings.listen = options.gateway_listen;
+  settings.ready_listen = options.ready_listen;
+  settings.pool.source_ip = options.peer_listen.ip;
+  settings.placement.failure_domain = options.failure_domain;
+  settings.retries.ratio = options.retry_ratio;
+  settings.retries.slack = options.retry_slack;
+  settings.retries.window = options.retry_window;
+  settings.seed = RandomSeed();
+  return settings;
+}
+
+ServerRegistrySettings MakeRegistrySettings(const Options& options) {
+  ServerRegistrySettings settings;
+  settings.vm = options.vm;
+  settings.silence_limit = kServerSilence;
+  return settings;
+}
+
+}  // namespace
+
+GatewayDaemon::GatewayDaemon(const Options& options, const WireDialect& dialect)
+    : options_(options),
+      gateway_(MakeSettings(options), dialect, &loop_, &metrics_),
+      registry_(MakeRegistrySettings(options)),
+      // The low bits count within one start.
+      lease_(options.gateway_lease, RandomSeed() & ~uint64_t{0xffffffff}) {}
+
+GatewayDaemon::~GatewayDaemon() {
+  if (peers_ != nullptr) {
+    peers_->Stop();
+  }
+}
+
+Expected<std::unique_ptr<GatewayDaemon>> GatewayDaemon::Create(
+    const Options& options,
+    const WireDialect& dialect) {
+  std::unique_ptr<GatewayDaemon> daemon(new GatewayDaemon(options, dialect));
+  if (Expected<void> started = daemon->Start(); !started) {
+    return tl::unexpected<Error>(started.error());
+  }
+  return daemon;
+}
+
+Expected<void> GatewayDaemon::Start() {
+  PeerTransportSettings settings;
+  settings.vm = options_.vm;
+  settings.listen = options_.peer_listen;
+  settings.secret = options_.peer_secret;
+  settings.accept_unlisted_peers = true;
+  Expected<std::unique_ptr<PeerTransport>> peers = PeerTransport::Create(
+      std::move(settings), &clock_,
+      [this](const VmId& from, PeerMessage message) {
+        loop_.Post([this, from, message = std::move(message)] {
+          OnPeerMessage(from, message);
+        });
+      },
+      [this](const VmId& peer, bool connected) {
+        if (connected) {
+          loop_.Post([this, peer] { SendDigest(peer); });
+        }
+      });
+  if (!peers) {
+    return tl::unexpected<Error>(peers.error());
+  }
+  peers_ = *std::move(peers);
+  std::vector<VmId> seeds;
+  for (const NetworkAddress& seed : options_.seeds) {
+    seeds.push_back(VmId(seed.ip));
+  }
+  FollowReplicas(seeds);
+  return gateway_.Start();
+}
+
+bool GatewayDaemon::Run(SignalWatcher* signals) {
+  signals_ = signals;
+  const EventLoop::WatchId watch =
+      loop_.Watch(signals->fd(), EPOLLIN, [this](uint32_t) {
+        if (const int signal = signals_->Wait(absl::ZeroDuration())) {
+          OnSignal(signal);
+        }
+      });
+  Poll();
+  TickRegistry();
+  loop_.Run();
+  loop_.Unwatch(watch);
+  return complete_;
+}
+
+void GatewayDaemon::FollowReplicas(const std::vector<VmId>& replicas) {
+  std::vector<VmId> sorted = replicas;
+  std::sort(sorted.begin(), sorted.end());
+  if (sorted == replicas_ || sorted.empty()) {
+    return;
+  }
+  for (const VmId& vm : replicas_) {
+    if (std::find(sorted.begin(), sorted.end(), vm) == sorted.end()) {
+      peers_->RemovePeer(vm);
+    }
+  }
+  for (const VmId& vm : sorted) {
+    if (const Expected<void> added =
+            peers_->AddPeer({vm, {vm.value(), options_.peer_listen.port}});
+        !added) {
+      LogEvent("replica_address_invalid", LogLevel::kWarning)
+          .Add("vm", vm)
+          .Add("reason", added.error().message);
+    }
+  }
+  replicas_ = std::move(sorted);
+  LogEvent event("replicas_changed");
+  for (size_t i = 0; i < replicas_.size(); ++i) {
+    event.Add("replica_" + std::to_string(i), replicas_[i]);
+  }
+}
+
+void GatewayDaemon::Poll() {
+  const MonoTime now = loop_.now();
+  for (size_t i = 0; i < replicas_.size(); ++i) {
+    const VmId& replica = replicas_[next_replica_++ % replicas_.size()];
+    if (!peers_->IsConnected(replica)) {
+      continue;
+    }
+    PeerMessage message;
+    message.channel = PeerChannel::kGatewayPoll;
+    message.payload =
+        PackBytes(GatewayPoll{lease_.OnPoll(now), table_version_});
+    message.replaceable = true;
+    peers_->Send(replica, std::move(message));
+    break;
+  }
+  const bool valid = lease_.IsValid(now);
+  if (valid != lease_was_valid_) {
+    lease_was_valid_ = valid;
+    LogEvent(valid ? "lease_gained" : "lease_lost",
+             valid ? LogLevel::kInfo : LogLevel::kWarning)
+        .Add("table_version", table_version_);
+  }
+  loop_.At(now + kPollInterval, [this] { Poll(); });
+}
+
+void GatewayDaemon::SendDigest(const VmId& to) {
+  PeerMessage message;
+  message.channel = PeerChannel::kServerDigest;
+  message.payload = PackBytes(registry_.Digest());
+  message.replaceable = true;
+  peers_->Send(to, std::move(message));
+}
+
+void GatewayDaemon::TickRegistry() {
+  const MonoTime now = loop_.now();
+  ApplyServerChanges();
+  if (now >= digest_due_ && !replicas_.empty()) {
+    digest_due_ = now + kDigestInterval;
+    SendDigest(replicas_[next_digest_++ % replicas_.size()]);
+  }
+  loop_.At(now + kRegistryTick, [this] { TickRegistry(); });
+}
+
+void GatewayDaemon::ApplyServerChanges() {
+  const ServerRegistry::Changes changes = registry_.TakeChanges(loop_.now());
+  gateway_.fleet().Apply(changes, registry_);
+}
+
+void GatewayDaemon::OnPeerMessage(const VmId& from,
+                                  const PeerMessage& message) {
+  switch (message.channel) {
+    case PeerChannel::kServerDelta:
+      if (const auto deltas = UnpackBytes<ServerDeltaBatch>(message.payload)) {
+        registry_.OnDeltas(*deltas, loop_.now());
+        ApplyServerChanges();
+      }
+      return;
+    case PeerChannel::kGatewayUpdate:
+      if (const auto update = UnpackBytes<GatewayUpdate>(message.payload)) {
+        OnUpdate(from, *update);
+      }
+      return;
+    default:
+      // What replicas send to each other.
+      return;
+  }
+}
+
+void GatewayDaemon::OnUpdate(const VmId& from, const GatewayUpdate& update) {
+  if (!update.table.empty() && update.table.front().version > table_version_) {
+    table_version_ = update.table.front().version;
+    gateway_.SetTable(MakeRef<SharedRoutingTable>(update.table.front()));
+  }
+  if (!update.replicas.empty()) {
+    FollowReplicas(update.replicas);
+    gateway_.SetGatewayCount(static_cast<int>(update.gateways));
+  }
+  if (update.confirmed && update.table_version <= table_version_) {
+    lease_.OnConfirmed(update.token);
+    gateway_.SetLease(lease_.valid_until());
+  } else if (update.token != 0) {
+    LogEvent("poll_unconfirmed", LogLevel::kWarning)
+        .Add("replica", from)
+        .Add("table_version", update.table_version);
+  }
+}
+
+void GatewayDaemon::OnSignal(int signal) {
+  if (signal == SIGHUP) {
+    LogEvent("settings_reload").Add("note", "settings apply at the next start");
+    return;
+  }
+  if (std::exchange(draining_, true)) {
+    return;
+  }
+  drain_since_ = loop_.now();
+  LogEvent("daemon_draining").Add("signal", signal);
+  gateway_.BeginDrain();
+  loop_.At(drain_since_ + options_.drain_delay,
+           [this] { gateway_.StopCallers(); });
+  loop_.At(drain_since_ + options_.drain_delay, [this] { CheckDrained(); });
+}
+
+void GatewayDaemon::CheckDrained() {
+  const absl::Duration limit = options_.drain_timeout - kExitMargin;
+  complete_ = gateway_.IsIdle();
+  if (complete_ || loop_.now() - drain_since_ >= limit) {
+    // The last answers still have to be written.
+    loop_.At(loop_.now() + kDrainCheck, [this] { loop_.Stop(); });
+    return;
+  }
+  loop_.At(loop_.now() + kDrainCheck, [this] { CheckDrained(); });
+}
+
+}  // namespace camphorsail
--- /dev/null
+++ b/camphorsail/runtime/gateway_daemon.h
@@ -0,0 +1,79 @@
+#ifndef CAMPHORSAIL_RUNTIME_GATEWAY_DAEMON_H_
+#define CAMPHORSAIL_RUNTIME_GATEWAY_DAEMON_H_
+
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "camphorsail/base/error.h"
+#include "camphorsail/gateway/gateway.h"
+#include "camphorsail/gateway/gateway_update.h"
+#include "camphorsail/gateway/table_lease.h"
+#include "camphorsail/membership/server_registry.h"
+#include "camphorsail/net/event_loop.h"
+#include "camphorsail/peer/peer_transport.h"
+#include "camphorsail/peer/shared_hybrid_clock.h"
+#include "camphorsail/process/metrics.h"
+#include "camphorsail/process/options.h"
+#include "camphorsail/process/signal_watcher.h"
+
+namespace camphorsail {
+
+/// The process of a gateway VM: the request path, and the polls by which it
+/// follows the replicas. Keeps no durable state. All but the peer transport
+/// runs on one thread.
+class GatewayDaemon {
+ public:
+  /// @param options Checked settings with the role gateway.
+  /// @return The daemon; an error for an address that cannot be used.
+  static Expected<std::unique_ptr<GatewayDaemon>> Create(
+      const Options& options,
+      const WireDialect& dialect);
+  ~GatewayDaemon();
+
+  /// Serves until SIGTERM or SIGINT, then drains.
+  /// @return True when no request was cut.
+  bool Run(SignalWatcher* signals);
+
+ private:
+  GatewayDaemon(const Options& options, const WireDialect& dialect);
+
+  Expected<void> Start();
+  void OnPeerMessage(const VmId& from, const PeerMessage& message);
+  void OnUpdate(const VmId& from, const GatewayUpdate& update);
+  void OnSignal(int signal);
+  /// Asks the next replica to confirm the table.
+  void Poll();
+  /// Asks a replica for what this registry lacks.
+  void SendDigest(const VmId& to);
+  void TickRegistry();
+  void ApplyServerChanges();
+  /// Stops the loop once the requests are answered or the time is over.
+  void CheckDrained();
+  void FollowReplicas(const std::vector<VmId>& replicas);
+
+  const Options options_;
+  SharedHybridClock clock_;
+  Metrics metrics_;
+  EventLoop loop_;
+  Gateway gateway_;
+  ServerRegistry registry_;
+  TableLease lease_;
+  std::unique_ptr<PeerTransport> peers_;
+  SignalWatcher* signals_ = nullptr;
+
+  uint64_t table_version_ = 0;
+  std::vector<VmId> replicas_;
+  size_t next_replica_ = 0;
+  size_t next_digest_ = 0;
+  MonoTime digest_due_;
+  bool lease_was_valid_ = false;
+
+  bool draining_ = false;
+  MonoTime drain_since_;
+  bool complete_ = false;
+};
+
+}  // namespace camphorsail
+
+#endif  // CAMPHORSAIL_RUNTIME_GATEWAY_DAEMON_H_
--- /dev/null
+++ b/camphorsail/runtime/gateway_sessions.cc
@@ -0,0 +1,99 @@
+#include "camphorsail/runtime/gateway_sessions.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "camphorsail/process/log_event.h"
+
+namespace camphorsail {
+
+void GatewaySessions::OnPoll(const VmId& from, const GatewayPoll& poll) {
+  {
+    absl::MutexLock lock(&mutex_);
+    Session& session = sessions_[from];
+    session.polled_at = hooks_.now();
+    session.table_version = poll.table_version;
+    waiting_.push_back({from, poll});
+    if (std::exchange(reading_, true)) {
+      return;
+    }
+  }
+  StartRead();
+}
+
+void GatewaySessions::StartRead() {
+  std::vector<Waiting> polls;
+  {
+    absl::MutexLock lock(&mutex_);
+    polls.swap(waiting_);
+    if (polls.empty()) {
+      reading_ = false;
+      return;
+    }
+  }
+  hooks_.when_current(
+      [this, polls = std::move(polls)](const Expected<void>& result,
+                                       const ControlNode& node) {
+        OnCurrent(polls, result, node);
+        StartRead();
+      });
+}
+
+void GatewaySessions::OnCurrent(const std::vector<Waiting>& polls,
+                                const Expected<void>& result,
+                                const ControlNode& node) {
+  const RoutingTable& table = node.state().routing()->table;
+  GatewayUpdate update;
+  update.confirmed = result.has_value();
+  update.table_version = table.version;
+  for (const Member& member : node.replica().CurrentMembership().members) {
+    update.replicas.push_back(member.vm);
+  }
+  {
+    absl::MutexLock lock(&mutex_);
+    RemoveExpired();
+    update.gateways = static_cast<uint32_t>(sessions_.size());
+  }
+  if (!result) {
+    LogEvent("gateway_polls_unconfirmed", LogLevel::kWarning)
+        .Add("polls", polls.size())
+        .Add("reason", result.error().message);
+  }
+  for (const Waiting& waiting : polls) {
+    GatewayUpdate answer = update;
+    answer.token = waiting.poll.token;
+    if (waiting.poll.table_version < table.version) {
+      answer.table.push_back(table);
+    }
+    hooks_.send(waiting.gateway, answer);
+  }
+}
+
+void GatewaySessions::OnTable(const Ref<SharedRoutingTable>& table) {
+  std::vector<VmId> gateways;
+  {
+    absl::MutexLock lock(&mutex_);
+    RemoveExpired();
+    for (auto& [vm, session] : sessions_) {
+      if (session.table_version < table->table.version) {
+        session.table_version = table->table.version;
+        gateways.push_back(vm);
+      }
+    }
+  }
+  GatewayUpdate update;
+  update.table_version = table->table.version;
+  update.table.push_back(table->table);
+  for (const VmId& gateway : gateways) {
+    hooks_.send(gateway, update);
+  }
+}
+
+void GatewaySessions::RemoveExpired() {
+  const MonoTime oldest = hooks_.now() - kSessionLifetime;
+  std::erase_if(sessions_, [&](const auto& item) {
+    return item.second.polled_at < oldest;
+  });
+}
+
+}  // namespace camphorsail
--- a/camphorsail/runtime/order_sender.cc
+++ b/camphorsail/runtime/order_sender.cc
@@ -6,7 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/time.h"
-#include "camphorsail/http/monotonic_clock.h"
+#include "camphorsail/base/monotonic_clock.h"
 #include "camphorsail/orders/engine_json.h"
 
 namespace camphorsail {
--- a/camphorsail/runtime/server_directory.cc
+++ b/camphorsail/runtime/server_directory.cc
@@ -19,9 +19,14 @@
   if (!announcement) {
     return tl::unexpected<Error>(announcement.error());
   }
+  return Announce(*announcement, now);
+}
+
+Expected<void> ServerDirectory::Announce(const ServerAnnouncement& announcement,
+                                         MonoTime now) {
   {
     absl::MutexLock lock(&mutex_);
-    if (Expected<void> taken = registry_.OnAnnouncement(*announcement, now);
+    if (Expected<void> taken = registry_.OnAnnouncement(announcement, now);
         !taken) {
       return taken;
     }
@@ -30,6 +35,27 @@
   return {};
 }
 
+Expected<void> ServerDirectory::Leave(const BackendServerId& server,
+                                      MonoTime now) {
+  ServerAnnouncement announcement;
+  {
+    absl::MutexLock lock(&mutex_);
+    const ServerEntry* entry = registry_.Find(server);
+    if (entry == nullptr) {
+      return Fail(ErrorKind::kNotFound,
+                  "there is no backend server " + server.value());
+    }
+    announcement = entry->announcement;
+  }
+  announcement.leaving = true;
+  return Announce(announcement, now);
+}
+
+void ServerDirectory::RequestDigest() {
+  absl::MutexLock lock(&mutex_);
+  next_digest_ = MonoTime();
+}
+
 void ServerDirectory::OnDeltas(const ServerDeltaBatch& deltas, MonoTime now) {
   {
     absl::MutexLock lock(&mutex_);
--- a/camphorsail/runtime/server_directory.h
+++ b/camphorsail/runtime/server_directory.h
@@ -38,6 +38,16 @@
   /// @return Nothing, or `kInvalidRequest` or `kOverloaded`.
   Expected<void> Announce(std::string_view body, MonoTime now);
 
+  /// Takes an announcement that was decoded elsewhere.
+  /// @return Nothing, or `kOverloaded`.
+  Expected<void> Announce(const ServerAnnouncement& announcement, MonoTime now);
+  /// The server gets no new work from now on; final within its incarnation.
+  /// @return `kNotFound` for a server that is not known.
+  Expected<void> Leave(const BackendServerId& server, MonoTime now);
+
+  /// Has the next `Tick` send the digest.
+  void RequestDigest();
+
   /// Takes what a peer learnt.
   void OnDeltas(const ServerDeltaBatch& deltas, MonoTime now);
   /// @return What the peer with this digest lacks; may be empty.
--- a/cmake/Lint.cmake
+++ b/cmake/Lint.cmake
@@ -2,7 +2,7 @@
 # so that an unchanged source is not checked again.
 find_program(CLANG_TIDY clang-tidy)
 file(GLOB_RECURSE LINT_SOURCES CONFIGURE_DEPENDS
-  ${CMAKE_SOURCE_DIR}/camphorsail/*.cc ${CMAKE_SOURCE_DIR}/daemon/*.cc ${CMAKE_SOURCE_DIR}/ctl/*.cc
+  ${CMAKE_SOURCE_DIR}/camphorsail/*.cc ${CMAKE_SOURCE_DIR}/daemon/*.cc ${CMAKE_SOURCE_DIR}/ctl/*.cc ${CMAKE_SOURCE_DIR}/platform/*.cc
   ${CMAKE_SOURCE_DIR}/bench/*.cc ${CMAKE_SOURCE_DIR}/tests/*.cc)
 set(LINT_STAMPS "")
 foreach(source ${LINT_SOURCES})
--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -1,5 +1,6 @@
 #include <curl/curl.h>
 
+#include <csignal>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -10,6 +11,9 @@
 #include "camphorsail/process/options.h"
 #include "camphorsail/process/signal_watcher.h"
 #include "camphorsail/runtime/daemon.h"
+#include "camphorsail/runtime/gateway_daemon.h"
+#include "platform/control_routes.h"
+#include "platform/wire_dialect.h"
 
 namespace camphorsail {
 namespace {
@@ -17,6 +21,24 @@
 // How often a stop that an operator asked for is looked for.
 constexpr absl::Duration kStopPollPeriod = absl::Milliseconds(100);
 
+int RunGateway(const Options& options, SignalWatcher* signals) {
+  Expected<std::unique_ptr<GatewayDaemon>> daemon =
+      GatewayDaemon::Create(options, platform::MakeWireDialect());
+  if (!daemon) {
+    std::cerr << "error: " << daemon.error().message << "\n";
+    return 1;
+  }
+  LogEvent("gateway_started")
+      .Add("version", CAMPHORSAIL_VERSION)
+      .Add("failure_domain", options.failure_domain)
+      .Add("callers", ToString(options.gateway_listen))
+      .Add("peers", ToString(options.peer_listen));
+  const bool complete = (*daemon)->Run(signals);
+  daemon->reset();
+  LogEvent("daemon_stopped").Add("all_requests_finished", complete);
+  return complete ? 0 : 1;
+}
+
 int RunDaemon(const Options& options) {
   ConfigureLogger(options.log_level, options.vm);
   // Created before any thread, so that all threads inherit the signal mask.
@@ -28,12 +50,23 @@
   // Debian's Abseil looks for lock cycles at each lock, under one lock for the
   // whole process. The unit tests leave the check on.
   absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
+  if (options.roles.gateway) {
+    return RunGateway(options, signals->get());
+  }
   curl_global_init(CURL_GLOBAL_DEFAULT);
   Expected<std::unique_ptr<Daemon>> daemon = Daemon::Create(options);
   if (!daemon) {
     std::cerr << "error: " << daemon.error().message << "\n";
     return 1;
   }
+  if (options.platform_listen.port != 0) {
+    const Expected<void> listening = (*daemon)->AddListener(
+        options.platform_listen, platform::MakeControlRoutes(daemon->get()));
+    if (!listening) {
+      std::cerr << "error: " << listening.error().message << "\n";
+      return 1;
+    }
+  }
   LogEvent("daemon_started")
       .Add("version", CAMPHORSAIL_VERSION)
       .Add("failure_domain", options.failure_domain)
@@ -45,6 +78,11 @@
   int signal = 0;
   while (signal == 0 && !(*daemon)->stop_requested()) {
     signal = (*signals)->Wait(kStopPollPeriod);
+    if (signal == SIGHUP) {
+      LogEvent("settings_reload")
+          .Add("note", "settings apply at the next start");
+      signal = 0;
+    }
   }
   LogEvent("daemon_draining").Add("signal", signal);
   const bool complete = (*daemon)->Drain();
--- a/tests/fakes/backend/fake_announcer.cc
+++ b/tests/fakes/backend/fake_announcer.cc
@@ -6,7 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
-#include "camphorsail/http/monotonic_clock.h"
+#include "camphorsail/base/monotonic_clock.h"
 
 namespace camphorsail {
 namespace {
--- a/tests/fakes/backend/fake_engine.cc
+++ b/tests/fakes/backend/fake_engine.cc
@@ -6,9 +6,9 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
+#include "camphorsail/base/monotonic_clock.h"
 #include "camphorsail/entry/model_request.h"
 #include "camphorsail/entry/prefix_hash.h"
-#include "camphorsail/http/monotonic_clock.h"
 #include "camphorsail/http/route_table.h"
 #include "tests/fakes/backend/fake_tokens.h"
 
--- a/tests/fakes/backend/fake_service.cc
+++ b/tests/fakes/backend/fake_service.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "absl/time/clock.h"
-#include "camphorsail/http/monotonic_clock.h"
+#include "camphorsail/base/monotonic_clock.h"
 
 namespace camphorsail {
 
--- a/tests/unit/ctl/admin_client_test.cc
+++ b/tests/unit/ctl/admin_client_test.cc
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-#include "camphorsail/peer/tcp_socket.h"
+#include "camphorsail/net/tcp_socket.h"
 #include "gtest/gtest.h"
 
 namespace camphorsail::ctl {
--- a/tests/unit/peer/peer_authentication_test.cc
+++ b/tests/unit/peer/peer_authentication_test.cc
@@ -9,11 +9,11 @@
 
 #include "absl/strings/escaping.h"
 #include "absl/time/clock.h"
+#include "camphorsail/net/tcp_socket.h"
 #include "camphorsail/peer/http2_socket.h"
 #include "camphorsail/peer/peer_frame.h"
 #include "camphorsail/peer/peer_proof.h"
 #include "camphorsail/peer/peer_protocol.h"
-#include "camphorsail/peer/tcp_socket.h"
 #include "gtest/gtest.h"
 #include "peer_test_support.h"
 
--- a/tests/unit/peer/peer_fault_test.cc
+++ b/tests/unit/peer/peer_fault_test.cc
@@ -7,11 +7,11 @@
 #include <thread>
 
 #include "absl/time/clock.h"
+#include "camphorsail/net/tcp_socket.h"
 #include "camphorsail/peer/outbound_queue.h"
 #include "camphorsail/peer/peer_frame.h"
 #include "camphorsail/peer/peer_frame_reader.h"
 #include "camphorsail/peer/peer_proof.h"
-#include "camphorsail/peer/tcp_socket.h"
 #include "gtest/gtest.h"
 #include "peer_test_support.h"
 
