Placement by prefix home; quick streams and long prompts on different engines

Change: the longest shared prefix has one home engine at all gateways (rendezvous hashing); reading it elsewhere has a cost; bulk and quick streams prefer different engines.

--- a/camphorsail/gateway/backend_fleet.cc
+++ b/camphorsail/gateway/backend_fleet.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "camphorsail/base/fnv_hash.h"
 #include "camphorsail/process/log_event.h"
 
 namespace camphorsail {
@@ -59,6 +60,7 @@
   }
   auto server = MakeRef<BackendServer>();
   server->id = view.server;
+  server->hash = MixBits(Fnv1a64(view.server.value()));
   server->incarnation = view.incarnation;
   server->address = *address;
   server->failure_domain = view.failure_domain;
--- a/camphorsail/gateway/backend_server.h
+++ b/camphorsail/gateway/backend_server.h
@@ -21,6 +21,8 @@
 class BackendServer : public RefCounted<BackendServer> {
  public:
   BackendServerId id;
+  /// Of the id, equal at all gateways.
+  uint64_t hash = 0;
   Incarnation incarnation;
   NetworkAddress address;
   FailureDomainId failure_domain;
--- a/camphorsail/gateway/placement.cc
+++ b/camphorsail/gateway/placement.cc
@@ -1,6 +1,8 @@
 #include "camphorsail/gateway/placement.h"
 
 #include <algorithm>
+#include <cmath>
+#include <functional>
 #include <limits>
 #include <utility>
 
@@ -14,28 +16,28 @@
 constexpr double kEqualMs = 1;
 /// Batch steps before the first token of a request whose prompt is read.
 constexpr double kFirstTokenSteps = 3;
+/// Batch steps until a slot is free on a full engine, for each request that
+/// waits for one.
+constexpr double kStepsPerFreeSlot = 20;
+/// Batch steps of an ordinary answer, which a fuller batch makes slower.
+constexpr double kStepsPerAnswer = 50;
 
-/// @return True when `server` is one of the first `homes` in the order that the
-/// prefix gives the servers.
-std::vector<const BackendServer*> HomesOf(const BackendFleet::Servers& servers,
-                                          uint64_t prefix,
-                                          int homes) {
+/// @return The place of each server in the order that the prefix gives them;
+/// the first is the prefix's home.
+absl::flat_hash_map<const BackendServer*, int> RankByPrefix(
+    const std::vector<const BackendServer*>& servers,
+    uint64_t prefix) {
   std::vector<std::pair<uint64_t, const BackendServer*>> ranked;
   ranked.reserve(servers.size());
-  for (const auto& server : servers) {
-    ranked.emplace_back(MixBits(prefix ^ Fnv1a64(server->id.value())),
-                        server.get());
+  for (const BackendServer* server : servers) {
+    ranked.emplace_back(MixBits(prefix ^ server->hash), server);
   }
-  const size_t count =
-      std::min<size_t>(static_cast<size_t>(homes), ranked.size());
-  std::partial_sort(ranked.begin(),
-                    ranked.begin() + static_cast<ptrdiff_t>(count),
-                    ranked.end(), std::greater<>());
-  std::vector<const BackendServer*> result;
-  for (size_t i = 0; i < count; ++i) {
-    result.push_back(ranked[i].second);
+  std::sort(ranked.begin(), ranked.end(), std::greater<>());
+  absl::flat_hash_map<const BackendServer*, int> places;
+  for (size_t i = 0; i < ranked.size(); ++i) {
+    places[ranked[i].second] = static_cast<int>(i);
   }
-  return result;
+  return places;
 }
 
 }  // namespace
@@ -47,37 +49,78 @@
          pairs / 1e6 * settings_.prefill_ms_per_million_pairs;
 }
 
+Placement::Lane Placement::LaneOf(const BackendFleet::Servers& servers,
+                                  const PlacementRequest& request) const {
+  // Every gateway orders the engines alike, so that they agree on the lanes.
+  std::vector<const BackendServer*> ordered;
+  ordered.reserve(servers.size());
+  for (const auto& server : servers) {
+    ordered.push_back(server.get());
+  }
+  std::sort(ordered.begin(), ordered.end(),
+            [](const BackendServer* a, const BackendServer* b) {
+              return a->hash < b->hash;
+            });
+  if (ordered.size() > 1) {
+    const auto size = static_cast<ptrdiff_t>(ordered.size());
+    const auto bulk = static_cast<ptrdiff_t>(
+        std::lround(static_cast<double>(size) * settings_.bulk_part));
+    const auto border =
+        ordered.begin() + std::clamp<ptrdiff_t>(bulk, 1, size - 1);
+    if (request.is_quick) {
+      ordered.erase(ordered.begin(), border);
+    } else {
+      ordered.erase(border, ordered.end());
+    }
+  }
+  const uint64_t prefix = request.prefixes.prefixes.empty()
+                              ? 0
+                              : request.prefixes.prefixes.back().hash;
+  return {RankByPrefix(ordered, prefix)};
+}
+
 Placement::Estimate Placement::EstimateGeneration(
     const BackendServer& server,
     const PlacementRequest& request,
-    bool is_home,
+    const Lane& lane,
     MonoTime now) const {
   const auto whole = static_cast<double>(request.prompt_tokens.value());
-  double cached =
-      static_cast<double>(server.prefixes.Find(request.prefixes, now).value());
-  if (is_home) {
-    cached =
-        static_cast<double>(request.prefixes.prefixes.back().tokens.value());
-  }
+  const double shared =
+      request.prefixes.prefixes.empty()
+          ? 0
+          : static_cast<double>(
+                request.prefixes.prefixes.back().tokens.value());
+  const auto place = lane.places.find(&server);
+  const bool in_lane = place != lane.places.end();
+  // Whichever gateway had the prefix last sent it to its home.
+  const double cached =
+      in_lane && place->second == 0
+          ? shared
+          : static_cast<double>(
+                server.prefixes.Find(request.prefixes, now).value());
   Estimate estimate;
   estimate.prefill_ms =
       PrefillMs(std::max(0.0, whole - std::min(cached, whole)), whole);
   const double load = server.Load(now);
   const double step = settings_.step_ms + settings_.step_ms_per_request * load;
-  const double others_waiting = server.Waiting(now);
   const double over = std::max(0.0, load + 1 - server.slots);
   const double queue_ms =
       absl::ToDoubleMilliseconds(server.PromptBacklog(now)) +
-      // A slot is free again after the rest of a stream.
-      (others_waiting + over) * step * 20;
+      (server.Waiting(now) + over) * step * kStepsPerFreeSlot;
   estimate.expected_ms =
       (queue_ms + estimate.prefill_ms + kFirstTokenSteps * step) *
       server.health.Slowdown(now);
   estimate.cost_ms =
       estimate.expected_ms +
       settings_.interference * estimate.prefill_ms * server.quick_streams() +
-      // Every stream of a fuller batch gets slower.
-      load * settings_.step_ms_per_request * 50;
+      load * settings_.step_ms_per_request * kStepsPerAnswer +
+      settings_.reread_ms_per_token * std::max(0.0, shared - cached);
+  if (in_lane) {
+    estimate.cost_ms += settings_.behind_home_ms * place->second;
+  } else {
+    estimate.cost_ms += request.is_quick ? settings_.quick_elsewhere_ms
+                                         : settings_.bulk_elsewhere_ms;
+  }
   return estimate;
 }
 
@@ -96,11 +139,7 @@
 PlacementChoice Placement::Choose(const BackendFleet::Servers& servers,
                                   const PlacementRequest& request,
                                   MonoTime now) {
-  std::vector<const BackendServer*> homes;
-  if (request.is_generation && !request.prefixes.prefixes.empty()) {
-    homes = HomesOf(servers, request.prefixes.prefixes.back().hash,
-                    settings_.homes);
-  }
+  const Lane lane = request.is_generation ? LaneOf(servers, request) : Lane();
   // Servers that seem to be down are used when there are no others.
   for (const bool open_only : {true, false}) {
     PlacementChoice best;
@@ -112,12 +151,9 @@
       if (tried || (open_only && !server->health.IsOpen(now))) {
         continue;
       }
-      const bool is_home =
-          std::find(homes.begin(), homes.end(), server.get()) != homes.end();
-      Estimate estimate =
-          request.is_generation
-              ? EstimateGeneration(*server, request, is_home, now)
-              : EstimateCall(*server, now);
+      Estimate estimate = request.is_generation
+                              ? EstimateGeneration(*server, request, lane, now)
+                              : EstimateCall(*server, now);
       estimate.cost_ms +=
           settings_.failure_ms * server->health.FailureRate(now);
       if (server->failure_domain != settings_.failure_domain) {
--- a/camphorsail/gateway/placement.h
+++ b/camphorsail/gateway/placement.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "camphorsail/base/ids.h"
 #include "camphorsail/base/random.h"
@@ -36,9 +37,11 @@
 
 /// Chooses the server with the least expected time to the first token or the
 /// answer, with the harm that a long prompt does to streams on its engine.
-/// Engines that share a prefix are found without messages: each prefix has the
-/// same few home engines at every gateway (rendezvous hashing, Thaler and
-/// Ravishankar 1998). Belongs to the loop's thread.
+/// Engines that cache a prefix are found without messages: each prefix has the
+/// same home engine at every gateway (rendezvous hashing, Thaler and
+/// Ravishankar 1998). Quick streams, whose events must not pause for long, and
+/// bulk streams prefer different engines, because an engine reads long prompts
+/// between the tokens of its streams. Belongs to the loop's thread.
 class Placement {
  public:
   Placement(const PlacementSettings& settings, uint64_t seed)
@@ -57,9 +60,17 @@
     double expected_ms = 0;
   };
 
+  /// The engines that a request prefers, and the place of each in the order of
+  /// the request's prefix.
+  struct Lane {
+    absl::flat_hash_map<const BackendServer*, int> places;
+  };
+
+  Lane LaneOf(const BackendFleet::Servers& servers,
+              const PlacementRequest& request) const;
   Estimate EstimateGeneration(const BackendServer& server,
                               const PlacementRequest& request,
-                              bool is_home,
+                              const Lane& lane,
                               MonoTime now) const;
   Estimate EstimateCall(const BackendServer& server, MonoTime now) const;
   double PrefillMs(double uncached, double whole) const;
--- a/camphorsail/gateway/placement_settings.h
+++ b/camphorsail/gateway/placement_settings.h
@@ -19,8 +19,19 @@
   double step_ms_per_request = 0.028;
   /// Time of a plain service's call on an idle server.
   double call_ms = 20;
-  /// Home engines of one prefix.
-  int homes = 2;
+  /// Cost of reading a token of a shared prefix that another engine has cached,
+  /// in milliseconds: the deployments charge for it about as much as for a
+  /// request that waits this long.
+  double reread_ms_per_token = 0.15;
+  /// Cost for each place that an engine is behind the home of a prefix, in
+  /// milliseconds. Has all gateways spill to the same engines.
+  double behind_home_ms = 2;
+  /// Part of the engines that bulk streams prefer; quick streams prefer the
+  /// others.
+  double bulk_part = 0.38;
+  /// Cost of an engine that is for the other kind of stream, in milliseconds.
+  double bulk_elsewhere_ms = 400;
+  double quick_elsewhere_ms = 150;
   /// Cost of another failure domain, in milliseconds: the round trip and the
   /// price of the bytes.
   double other_domain_ms = 4;
