Two thirds of the engines prefer bulk streams

Cause: three of nine bulk engines had 2.2 engine-seconds of prompts a second to read in a burst.

Change: the part of the engines that bulk streams prefer is 0.66 instead of 0.38.

--- a/camphorsail/gateway/placement_settings.h
+++ b/camphorsail/gateway/placement_settings.h
@@ -28,7 +28,7 @@
   double behind_home_ms = 2;
   /// Part of the engines that bulk streams prefer; quick streams prefer the
   /// others.
-  double bulk_part = 0.38;
+  double bulk_part = 0.66;
   /// Cost of an engine that is for the other kind of stream, in milliseconds.
   double bulk_elsewhere_ms = 400;
   double quick_elsewhere_ms = 150;
