Urgency by account and then by route

Change: the urgency is the place of the pair (account rank, route rank) among all pairs of the table.

--- a/camphorsail/gateway/exchange.h
+++ b/camphorsail/gateway/exchange.h
@@ -52,7 +52,7 @@
   const Route* route = nullptr;
   const ServiceProfile* service = nullptr;
   ClientAccountId account;
-  int rank = 0;
+  int urgency = 0;
   PlacementRequest placement;
   MonoTime arrived_at;
   /// When the caller or the route no longer waits.
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -193,15 +193,15 @@
     return Fail(ErrorKind::kNotFound, "no route for host and path");
   }
   const Route& route = *exchange->route;
-  exchange->rank = route.rank;
+  const AccountKeys* account = nullptr;
   if (index.table().requires_keys && !route.is_public) {
-    const AccountKeys* account = index.FindAccount(exchange->request.api_key);
+    account = index.FindAccount(exchange->request.api_key);
     if (account == nullptr) {
       return Fail(ErrorKind::kUnauthenticated, "unknown API key");
     }
     exchange->account = account->account;
-    exchange->rank = account->rank.value_or(route.rank);
   }
+  exchange->urgency = index.UrgencyOf(account, route);
   if (draining_ && route.kind == RouteKind::kStream &&
       loop_->now() >= drain_since_ + kLastStreamStart) {
     return Fail(ErrorKind::kShuttingDown, "the gateway is stopping");
@@ -286,7 +286,7 @@
   terms.time_left = exchange.deadline - now;
   terms.account = exchange.account;
   if (exchange.service->is_engine) {
-    terms.urgency = std::clamp(exchange.rank, 0, 9);
+    terms.urgency = exchange.urgency;
   }
   terms.last_event = exchange.last_event;
   dialect_.write_terms(terms, &headers);
--- a/camphorsail/gateway/gateway_journal.cc
+++ b/camphorsail/gateway/gateway_journal.cc
@@ -16,6 +16,7 @@
       .Add("table_version",
            exchange.index ? exchange.index->table().version : 0)
       .Add("age_ms", absl::ToInt64Milliseconds(now - exchange.arrived_at))
+      .Add("urgency", exchange.urgency)
       .Add("tries", exchange.tries)
       .Add("runs", exchange.runs);
   if (exchange.attempt.has_value()) {
--- a/camphorsail/routing/account_keys.h
+++ b/camphorsail/routing/account_keys.h
@@ -14,8 +14,8 @@
 struct AccountKeys {
   ClientAccountId account;
   std::vector<std::string> api_keys;
-  /// Rank of the account's requests, which goes before the route's; 0 is the
-  /// highest.
+  /// Rank of the account's requests, compared before that of their routes; 0 is
+  /// the highest.
   std::optional<int> rank;
 
   friend bool operator==(const AccountKeys&, const AccountKeys&) = default;
--- a/camphorsail/routing/route.h
+++ b/camphorsail/routing/route.h
@@ -29,7 +29,7 @@
   std::string path_prefix;
   RouteKind kind = RouteKind::kIdempotent;
   std::vector<RouteTarget> targets;
-  /// Rank of the route's requests where their account has none; 0 is the
+  /// Rank of the route's requests among those of accounts of one rank; 0 is the
   /// highest.
   int rank = 0;
   /// Most servers on which one request may run.
--- a/camphorsail/routing/route_index.cc
+++ b/camphorsail/routing/route_index.cc
@@ -1,11 +1,20 @@
 #include "camphorsail/routing/route_index.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "absl/strings/ascii.h"
 
 namespace camphorsail {
+namespace {
+
+/// @return The rank of requests by their account alone.
+int RankOf(const AccountKeys* account) {
+  return account == nullptr ? 0 : account->rank.value_or(0);
+}
+
+}  // namespace
 
 RouteIndex::RouteIndex(Ref<SharedRoutingTable> table)
     : table_(std::move(table)) {
@@ -26,6 +35,24 @@
   for (const ServiceProfile& service : table_->table.services) {
     services_.emplace(service.name, &service);
   }
+  std::set<std::pair<int, int>> ranks;
+  for (const Route& route : table_->table.routes) {
+    ranks.emplace(RankOf(nullptr), route.rank);
+    for (const AccountKeys& account : table_->table.accounts) {
+      ranks.emplace(RankOf(&account), route.rank);
+    }
+  }
+  ranks_.assign(ranks.begin(), ranks.end());
+}
+
+int RouteIndex::UrgencyOf(const AccountKeys* account,
+                          const Route& route) const {
+  const auto found =
+      std::lower_bound(ranks_.begin(), ranks_.end(),
+                       std::make_pair(RankOf(account), route.rank));
+  const auto position = static_cast<int>(found - ranks_.begin());
+  const int count = std::max(kUrgencies, static_cast<int>(ranks_.size()));
+  return std::min(position * kUrgencies / count, kUrgencies - 1);
 }
 
 const Route* RouteIndex::FindRoute(std::string_view host,
--- a/camphorsail/routing/route_index.h
+++ b/camphorsail/routing/route_index.h
@@ -3,6 +3,7 @@
 
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -28,6 +29,15 @@
   /// @return The account that holds the key; null when none does.
   const AccountKeys* FindAccount(std::string_view api_key) const;
 
+  /// Number of urgencies, as engines tell them apart.
+  static constexpr int kUrgencies = 10;
+
+  /// Ranks a request among all that the table allows: by its account, and
+  /// within one rank of accounts by its route.
+  /// @param account Null on public routes.
+  /// @return 0, the most urgent, to `kUrgencies` - 1.
+  int UrgencyOf(const AccountKeys* account, const Route& route) const;
+
   /// @return The service; null when the table does not name it.
   const ServiceProfile* FindService(const ModelId& service) const;
 
@@ -37,6 +47,9 @@
   absl::flat_hash_map<std::string, std::vector<const Route*>> routes_;
   absl::flat_hash_map<std::string, const AccountKeys*> accounts_;
   absl::flat_hash_map<ModelId, const ServiceProfile*> services_;
+  /// The ranks of accounts and routes that occur together, the most urgent
+  /// first.
+  std::vector<std::pair<int, int>> ranks_;
 };
 
 }  // namespace camphorsail
