A full disk makes a replica wait instead of end

Change: a failed write is tried again until it succeeds. The log store cuts off what a failed append left behind before the next attempt.

Test: LogStoreTest.WriteIsRepeatedAfterTheDiskWasFull; with the truncation switched off the reopened log does not hold the seven entries.

--- a/camphorsail/runtime/storage_thread.cc
+++ b/camphorsail/runtime/storage_thread.cc
@@ -2,6 +2,9 @@
 
 #include <utility>
 
+#include "camphorsail/base/monotonic_clock.h"
+#include "camphorsail/process/log_event.h"
+
 namespace camphorsail {
 
 StorageThread::StorageThread(std::unique_ptr<LogStore> store,
@@ -24,6 +27,8 @@
     absl::MutexLock lock(&mutex_);
     stopping_ = true;
   }
+  stop_requested_ = true;
+  waker_.Wake();
   if (thread_.joinable()) {
     thread_.join();
   }
@@ -46,10 +51,38 @@
     }
     Expected<void> result;
     if (store_ != nullptr) {
-      result = store_->Write(job.batch);
+      result = WriteUntilDone(job.batch);
     }
     on_completed_(job.write_id, std::move(result));
   }
 }
 
+Expected<void> StorageThread::WriteUntilDone(const WriteBatch& batch) {
+  MonoTime failed_since;
+  MonoTime next_log;
+  while (true) {
+    Expected<void> result = store_->Write(batch);
+    const MonoTime now = MonotonicNow();
+    if (result) {
+      if (failed_since != MonoTime()) {
+        LogEvent("storage_recovered").Add("failed_ms", now - failed_since);
+      }
+      return result;
+    }
+    if (result.error().kind != ErrorKind::kStorageFailed || stop_requested_) {
+      return result;
+    }
+    if (failed_since == MonoTime()) {
+      failed_since = now;
+    }
+    if (now >= next_log) {
+      next_log = now + kLogInterval;
+      LogEvent("storage_failed", LogLevel::kError)
+          .Add("message", result.error().message)
+          .Add("failed_ms", now - failed_since);
+    }
+    waker_.Wait(kRetryInterval);
+  }
+}
+
 }  // namespace camphorsail
--- a/camphorsail/storage/log_store.cc
+++ b/camphorsail/storage/log_store.cc
@@ -124,6 +124,8 @@
   std::vector<Segment> segments_;
   /// The last segment, open for appending once something is appended.
   FileDescriptor current_;
+  /// The last segment may be longer than its `size`.
+  bool torn_ = false;
   uint64_t last_number_ = 0;
   /// Index of the stored snapshot; zero without one.
   LogIndex snapshot_index_;
@@ -346,7 +348,7 @@
   }
   const std::string payload = PackBytes(snapshot);
   if (payload.size() > RecordFrame::kMaxPayloadBytes) {
-    return Fail(ErrorKind::kStorageFailed, "the snapshot is too large");
+    return Fail(ErrorKind::kSettingsTooLarge, "the snapshot is too large");
   }
   const Expected<void> written = folder_.Replace(
       NumberedName(kSnapshotPrefix, snapshot.last.index.value()),
@@ -374,7 +376,18 @@
     LogIndex committed) {
   const std::string payload = PackBytes(LogRecord{committed, entries});
   if (payload.size() > RecordFrame::kMaxPayloadBytes) {
-    return Fail(ErrorKind::kStorageFailed, "the batch is too large");
+    return Fail(ErrorKind::kSettingsTooLarge, "the batch is too large");
+  }
+  if (torn_) {
+    // A failed append may have left a part of its record.
+    current_ = FileDescriptor();
+    const Expected<void> truncated =
+        folder_.Truncate(NumberedName(kLogPrefix, segments_.back().number),
+                         segments_.back().size);
+    if (!truncated.has_value()) {
+      return truncated;
+    }
+    torn_ = false;
   }
   if (!current_.IsOpen() || segments_.back().size >= settings_.segment_bytes) {
     const Expected<void> started = StartSegment();
@@ -387,6 +400,7 @@
       RecordFrame::Encode(payload, segment.size, replica_.value());
   const Expected<void> written = folder_.AppendDurably(current_, frame);
   if (!written.has_value()) {
+    torn_ = true;
     return written;
   }
   segment.size += frame.size();
--- a/camphorsail/storage/log_store.h
+++ b/camphorsail/storage/log_store.h
@@ -29,8 +29,9 @@
   DurableState TakeRecoveredState();
 
   /// Makes a batch durable. Files and folder are synced on return.
-  /// @return Nothing, or `kStorageFailed`. The store must not be used after a
-  ///     failure, because what reached the disk is unknown.
+  /// @return Nothing; `kStorageFailed`, after which the same batch must be
+  ///     written again before any other; `kSettingsTooLarge` for a batch that
+  ///     can never be written.
   Expected<void> Write(const WriteBatch& batch);
 
  private:
--- a/tests/unit/storage/log_store_test.cc
+++ b/tests/unit/storage/log_store_test.cc
@@ -1,6 +1,9 @@
 #include "camphorsail/storage/log_store.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <string>
@@ -307,6 +310,38 @@
 }
 
 // Guards against two processes that write one folder.
+// A full disk takes a part of a record. Without the truncation before the next
+// attempt, the record's second copy follows its torn first one, and the log is
+// reported as corrupt at the next start.
+TEST(LogStoreTest, WriteIsRepeatedAfterTheDiskWasFull) {
+  const TemporaryFolder folder;
+  auto store = Open(folder, 1 << 20);
+  ASSERT_TRUE(store);
+  const std::string data(1000, 'x');
+  ASSERT_TRUE((*store)->Write(EntryBatch(Entries(1, 1, 3, data))));
+  const WriteBatch batch = EntryBatch(Entries(1, 4, 3, data));
+
+  std::signal(SIGXFSZ, SIG_IGN);
+  rlimit before;
+  ASSERT_EQ(getrlimit(RLIMIT_FSIZE, &before), 0);
+  rlimit full = before;
+  full.rlim_cur = fs::file_size(folder.Last("log-")) + 500;
+  ASSERT_EQ(setrlimit(RLIMIT_FSIZE, &full), 0);
+  const Expected<void> first = (*store)->Write(batch);
+  const Expected<void> second = (*store)->Write(batch);
+  ASSERT_EQ(setrlimit(RLIMIT_FSIZE, &before), 0);
+  ASSERT_FALSE(first);
+  EXPECT_EQ(first.error().kind, ErrorKind::kStorageFailed);
+  ASSERT_FALSE(second);
+
+  ASSERT_TRUE((*store)->Write(batch));
+  ASSERT_TRUE((*store)->Write(EntryBatch(Entries(1, 7, 1, data))));
+  store->reset();
+  auto reopened = Open(folder, 1 << 20);
+  ASSERT_TRUE(reopened) << reopened.error().message;
+  EXPECT_EQ((*reopened)->TakeRecoveredState().entries.size(), 7U);
+}
+
 TEST(LogStoreTest, FolderIsLocked) {
   const TemporaryFolder folder;
   const auto store = Open(folder);
