Faster recovery after a power cut of all VMs

Wall clock readings come from the system, since the library's clock followed a step late and log times were off by up to 0.4 s.

--- a/camphorsail/gateway/caller_connection.cc
+++ b/camphorsail/gateway/caller_connection.cc
@@ -21,8 +21,6 @@
 /// Longest wait for a caller to read the last answer of a connection.
 constexpr absl::Duration kLingerTime = absl::Seconds(1);
 constexpr size_t kReadBytes = 16 * 1024;
-/// A request that is refused for its size is read and dropped up to this.
-constexpr size_t kMaxInputBytes = 64 * 1024;
 
 std::string_view ReasonPhrase(int status) {
   switch (status) {
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -437,10 +437,10 @@
   } else {
     attempt.server->health.OnFailure(loop_->now());
   }
+  const bool is_short_stream =
+      exchange->route->kind == RouteKind::kStream && status == 200;
   const std::string body =
-      exchange->route->kind == RouteKind::kStream && status == 200
-          ? attempt.events.rest()
-          : std::move(attempt.body);
+      is_short_stream ? attempt.events.rest() : attempt.body;
   const HttpHeaders headers = ReplyHeaders(*attempt.head);
   CallerConnection* caller = exchange->caller;
   journal_.OnAnswered(*exchange, status, loop_->now());
--- a/camphorsail/peer/peer_transport_core.cc
+++ b/camphorsail/peer/peer_transport_core.cc
@@ -506,8 +506,13 @@
   }
   peer->inbound_id = id;
   peer->inbound_connected = true;
-  if (peer->outbound_id == 0) {
-    // The peer is there: call it back without waiting for the backoff.
+  if (!peer->outbound_connected) {
+    // The peer is there: call it back without waiting for the backoff, or for
+    // an attempt whose first packet was lost while it was not.
+    peer->backoff = absl::ZeroDuration();
+    if (peer->outbound_id != 0) {
+      marked_for_close_.push_back(peer->outbound_id);
+    }
     peer->next_attempt = now_;
     next_housekeeping_ = now_;
   }
--- a/camphorsail/peer/shared_hybrid_clock.cc
+++ b/camphorsail/peer/shared_hybrid_clock.cc
@@ -2,12 +2,12 @@
 
 #include <utility>
 
-#include "absl/time/clock.h"
+#include "camphorsail/base/wall_clock.h"
 
 namespace camphorsail {
 
 SharedHybridClock::SharedHybridClock()
-    : wall_clock_([] { return absl::Now(); }) {}
+    : wall_clock_([] { return WallNow(); }) {}
 
 SharedHybridClock::SharedHybridClock(WallClock wall_clock)
     : wall_clock_(std::move(wall_clock)) {}
--- a/camphorsail/process/log_event.cc
+++ b/camphorsail/process/log_event.cc
@@ -1,7 +1,7 @@
 #include "camphorsail/process/log_event.h"
 
 #include "absl/strings/str_format.h"
-#include "absl/time/clock.h"
+#include "camphorsail/base/wall_clock.h"
 #include "camphorsail/process/logger.h"
 
 namespace camphorsail {
@@ -51,8 +51,8 @@
     return;
   }
   line_ = "time=";
-  line_ += absl::FormatTime("%Y-%m-%dT%H:%M:%E6SZ", absl::Now(),
-                            absl::UTCTimeZone());
+  line_ +=
+      absl::FormatTime("%Y-%m-%dT%H:%M:%E6SZ", WallNow(), absl::UTCTimeZone());
   line_ += " level=";
   line_ += ToString(level);
   Add("vm", LoggerVm()).Add("event", name);
--- a/camphorsail/runtime/control_runtime.cc
+++ b/camphorsail/runtime/control_runtime.cc
@@ -2,13 +2,17 @@
 
 #include <utility>
 
-#include "absl/time/clock.h"
 #include "camphorsail/base/monotonic_clock.h"
 #include "camphorsail/base/random.h"
+#include "camphorsail/base/wall_clock.h"
 
 namespace camphorsail {
 namespace {
 
+// A restart reads whole segments, so that small ones let it skip what a
+// snapshot covers.
+constexpr size_t kSegmentBytes = 256 << 10;
+
 Error StoppedError() {
   return Error{ErrorKind::kShuttingDown, "the control path has stopped",
                absl::ZeroDuration()};
@@ -36,6 +40,7 @@
   } else {
     LogStoreSettings store_settings;
     store_settings.folder = data_folder;
+    store_settings.segment_bytes = kSegmentBytes;
     Expected<std::unique_ptr<LogStore>> opened =
         LogStore::Open(std::move(store_settings));
     if (!opened) {
@@ -45,7 +50,7 @@
     state = store->TakeRecoveredState();
   }
   Expected<std::unique_ptr<ControlNode>> node = ControlNode::Create(
-      std::move(settings), std::move(state), seed, MonotonicNow(), absl::Now());
+      std::move(settings), std::move(state), seed, MonotonicNow(), WallNow());
   if (!node) {
     return tl::unexpected<Error>(node.error());
   }
@@ -208,7 +213,7 @@
 
 void ControlRuntime::StepNode(const ControlEvent& event) {
   actions_.clear();
-  node_->Step(event, MonotonicNow(), absl::Now(), &actions_);
+  node_->Step(event, MonotonicNow(), WallNow(), &actions_);
   for (const ControlAction& action : actions_) {
     std::visit([this](const auto& a) { Do(a); }, action);
   }
--- a/camphorsail/runtime/daemon.cc
+++ b/camphorsail/runtime/daemon.cc
@@ -9,6 +9,7 @@
 #include "camphorsail/base/monotonic_clock.h"
 #include "camphorsail/base/msgpack_bytes.h"
 #include "camphorsail/base/secret_equal.h"
+#include "camphorsail/base/wall_clock.h"
 #include "camphorsail/process/log_event.h"
 #include "camphorsail/runtime/ledger_bridge.h"
 #include "camphorsail/runtime/load_digest_codec.h"
@@ -29,13 +30,17 @@
 // The start time in the high bits keeps ids of successive starts apart, the
 // random bits those of VMs that start in the same millisecond.
 RequestId FirstRequestId() {
-  const auto start = static_cast<uint64_t>(absl::ToUnixMillis(absl::Now()));
+  const auto start = static_cast<uint64_t>(absl::ToUnixMillis(WallNow()));
   return RequestId((start << 23) | ((RandomSeed() & 0x7) << 20));
 }
 
 // A peer that was unreachable for this long is forgotten; it becomes one again
 // when it connects or when something is sent to it.
 constexpr absl::Duration kForgetPeerAfter = absl::Seconds(20);
+// Routing tables are large beside other commands: a restart has at most this
+// much to read again, and a follower that missed more gets the snapshot.
+constexpr size_t kSnapshotAfterBytes = 256 << 10;
+constexpr size_t kRetainedEntries = 16;
 constexpr int kPlatformWorkers = 12;
 // Without the entry role only the directory needs ticks.
 constexpr absl::Duration kIdleTick = absl::Milliseconds(100);
@@ -97,10 +102,12 @@
     settings.replica.may_found_group = options.found_group;
     settings.replica.target_voters = static_cast<size_t>(options.target_voters);
     settings.replica.admission_lease = options.roles.entry;
+    settings.replica.snapshot_after_bytes = kSnapshotAfterBytes;
+    settings.replica.retained_entries = kRetainedEntries;
   }
   settings.registration.vm = options.vm;
   settings.registration.incarnation =
-      Incarnation(static_cast<uint64_t>(absl::ToUnixMicros(absl::Now())));
+      Incarnation(static_cast<uint64_t>(absl::ToUnixMicros(WallNow())));
   settings.registration.failure_domain = options.failure_domain;
   settings.registration.region = options.region;
   settings.registration.peer_address = ToString(options.peer_listen);
@@ -287,7 +294,7 @@
   EntryRuntimeHooks hooks;
   hooks.ledger_open = [this](const LedgerOpenAction& action) {
     control_->Post(
-        LedgerOpenEvent{MakeLedgerOpen(action, options_.vm, absl::Now())});
+        LedgerOpenEvent{MakeLedgerOpen(action, options_.vm, WallNow())});
   };
   hooks.ledger_close = [this](const LedgerCloseAction& action) {
     if (std::optional<LedgerClose> close = MakeLedgerClose(action)) {
--- a/camphorsail/runtime/gateway_daemon.cc
+++ b/camphorsail/runtime/gateway_daemon.cc
@@ -24,6 +24,10 @@
 /// attempts take a server out much sooner; a server may be cut off from the
 /// replicas and still serve.
 constexpr absl::Duration kServerSilence = absl::Seconds(10);
+/// A gateway is of no use without a replica, so that it tries often.
+constexpr absl::Duration kMaxReconnectPause = absl::Milliseconds(300);
+/// Shorter than the pause after which the kernel repeats a lost first packet.
+constexpr absl::Duration kHandshakeTimeout = absl::Milliseconds(500);
 constexpr absl::Duration kDrainCheck = absl::Milliseconds(50);
 /// Left of the drain time for the process to end.
 constexpr absl::Duration kExitMargin = absl::Milliseconds(400);
@@ -79,6 +83,8 @@
   settings.listen = options_.peer_listen;
   settings.secret = options_.peer_secret;
   settings.accept_unlisted_peers = true;
+  settings.max_backoff = kMaxReconnectPause;
+  settings.handshake_timeout = kHandshakeTimeout;
   Expected<std::unique_ptr<PeerTransport>> peers = PeerTransport::Create(
       std::move(settings), &clock_,
       [this](const VmId& from, PeerMessage message) {
@@ -88,7 +94,12 @@
       },
       [this](const VmId& peer, bool connected) {
         if (connected) {
-          loop_.Post([this, peer] { SendDigest(peer); });
+          loop_.Post([this, peer] {
+            SendDigest(peer);
+            if (!lease_.IsValid(loop_.now())) {
+              SendPoll(peer);
+            }
+          });
         }
       });
   if (!peers) {
@@ -152,12 +163,7 @@
     if (!peers_->IsConnected(replica)) {
       continue;
     }
-    PeerMessage message;
-    message.channel = PeerChannel::kGatewayPoll;
-    message.payload =
-        PackBytes(GatewayPoll{lease_.OnPoll(now), table_version_});
-    message.replaceable = true;
-    peers_->Send(replica, std::move(message));
+    SendPoll(replica);
     break;
   }
   const bool valid = lease_.IsValid(now);
@@ -170,6 +176,15 @@
   loop_.At(now + kPollInterval, [this] { Poll(); });
 }
 
+void GatewayDaemon::SendPoll(const VmId& to) {
+  PeerMessage message;
+  message.channel = PeerChannel::kGatewayPoll;
+  message.payload =
+      PackBytes(GatewayPoll{lease_.OnPoll(loop_.now()), table_version_});
+  message.replaceable = true;
+  peers_->Send(to, std::move(message));
+}
+
 void GatewayDaemon::SendDigest(const VmId& to) {
   PeerMessage message;
   message.channel = PeerChannel::kServerDigest;
--- a/camphorsail/runtime/gateway_daemon.h
+++ b/camphorsail/runtime/gateway_daemon.h
@@ -44,6 +44,7 @@
   void OnSignal(int signal);
   /// Asks the next replica to confirm the table.
   void Poll();
+  void SendPoll(const VmId& to);
   /// Asks a replica for what this registry lacks.
   void SendDigest(const VmId& to);
   void TickRegistry();
