--- a/camphorsail/process/option_spec.cc
+++ b/camphorsail/process/option_spec.cc
@@ -247,11 +247,13 @@
          options->found_group = value == "true";
          return value == "true" || value == "false";
        }},
-      IntegerOption("target-voters", 3, 1, kMaxInitialVoters,
-                    "Voters that a group with seeds keeps.",
-                    [](int64_t value, Options* options) {
-                      options->target_voters = static_cast<int>(value);
-                    }),
+      IntegerOption(
+          "tolerated-losses", 1, 0, (kMaxInitialVoters - 1) / 2,
+          "Replicas, disks included, that a group with seeds may lose "
+          "at once.",
+          [](int64_t value, Options* options) {
+            options->tolerated_losses = static_cast<int>(value);
+          }),
       IntegerOption("gateway-lease-ms", 4000, 500, 60000,
                     "Milliseconds that a gateway goes on after a replica last "
                     "confirmed its routing table.",
--- a/camphorsail/process/options.h
+++ b/camphorsail/process/options.h
@@ -57,8 +57,8 @@
   std::vector<NetworkAddress> seeds;
   /// True when the seeds may found a new group.
   bool found_group = true;
-  /// Voters that a group with seeds keeps.
-  int target_voters = 0;
+  /// Replicas that a group with seeds may lose at once with their disks.
+  int tolerated_losses = 0;
   /// How long a gateway goes on after a replica last confirmed its table.
   absl::Duration gateway_lease;
   /// Retries that all gateways together may send to a service in any window of
--- a/camphorsail/runtime/daemon.cc
+++ b/camphorsail/runtime/daemon.cc
@@ -100,7 +100,9 @@
       settings.replica.voter_vms.push_back(VmId(seed.ip));
     }
     settings.replica.may_found_group = options.found_group;
-    settings.replica.target_voters = static_cast<size_t>(options.target_voters);
+    // A majority must be left.
+    settings.replica.target_voters =
+        2 * static_cast<size_t>(options.tolerated_losses) + 1;
     settings.replica.admission_lease = options.roles.entry;
     settings.replica.snapshot_after_bytes = kSnapshotAfterBytes;
     settings.replica.retained_entries = kRetainedEntries;
--- a/camphorsail/runtime/gateway_sessions.cc
+++ b/camphorsail/runtime/gateway_sessions.cc
@@ -13,7 +13,7 @@
     Session& session = sessions_[from];
     session.polled_at = hooks_.now();
     session.table_version = poll.table_version;
-    waiting_.push_back({from, poll});
+    waiting_[from] = poll;
     if (std::exchange(reading_, true)) {
       return;
     }
@@ -22,7 +22,7 @@
 }
 
 void GatewaySessions::StartRead() {
-  std::vector<Waiting> polls;
+  Polls polls;
   {
     absl::MutexLock lock(&mutex_);
     polls.swap(waiting_);
@@ -39,7 +39,7 @@
       });
 }
 
-void GatewaySessions::OnCurrent(const std::vector<Waiting>& polls,
+void GatewaySessions::OnCurrent(const Polls& polls,
                                 const Expected<void>& result,
                                 const ControlNode& node) {
   const RoutingTable& table = node.state().routing()->table;
@@ -59,13 +59,13 @@
         .Add("polls", polls.size())
         .Add("reason", result.error().message);
   }
-  for (const Waiting& waiting : polls) {
+  for (const auto& [gateway, poll] : polls) {
     GatewayUpdate answer = update;
-    answer.token = waiting.poll.token;
-    if (waiting.poll.table_version < table.version) {
+    answer.token = poll.token;
+    if (poll.table_version < table.version) {
       answer.table.push_back(table);
     }
-    hooks_.send(waiting.gateway, answer);
+    hooks_.send(gateway, answer);
   }
 }
 
--- a/camphorsail/runtime/gateway_sessions.h
+++ b/camphorsail/runtime/gateway_sessions.h
@@ -43,13 +43,11 @@
     MonoTime polled_at;
     uint64_t table_version = 0;
   };
-  struct Waiting {
-    VmId gateway;
-    GatewayPoll poll;
-  };
+  /// The latest poll of each gateway.
+  using Polls = std::map<VmId, GatewayPoll>;
 
   void StartRead();
-  void OnCurrent(const std::vector<Waiting>& polls,
+  void OnCurrent(const Polls& polls,
                  const Expected<void>& result,
                  const ControlNode& node);
   void RemoveExpired() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -58,7 +56,7 @@
   absl::Mutex mutex_;
   std::map<VmId, Session> sessions_ ABSL_GUARDED_BY(mutex_);
   /// Polls that came after the read in progress began.
-  std::vector<Waiting> waiting_ ABSL_GUARDED_BY(mutex_);
+  Polls waiting_ ABSL_GUARDED_BY(mutex_);
   bool reading_ ABSL_GUARDED_BY(mutex_) = false;
 };
 
