Gateways share their load through the replicas

Change: each poll carries the gateway's requests and unread prompts by engine, replicas exchange the sums, and the answer carries the others'. A gateway polls one replica as long as it answers.

--- a/camphorsail/gateway/backend_fleet.cc
+++ b/camphorsail/gateway/backend_fleet.cc
@@ -27,6 +27,31 @@
   return found == by_service_.end() ? *none : found->second;
 }
 
+std::vector<EngineLoad> BackendFleet::Loads(MonoTime now) const {
+  std::vector<EngineLoad> loads;
+  for (const auto& [id, server] : servers_) {
+    if (server->in_flight() > 0) {
+      loads.push_back({server->hash, static_cast<uint32_t>(server->in_flight()),
+                       static_cast<uint32_t>(absl::ToInt64Milliseconds(
+                           server->OwnBacklog(now)))});
+    }
+  }
+  return loads;
+}
+
+void BackendFleet::OnOthersLoads(const std::vector<EngineLoad>& loads,
+                                 MonoTime now) {
+  absl::flat_hash_map<uint64_t, const EngineLoad*> by_server;
+  for (const EngineLoad& load : loads) {
+    by_server[load.server] = &load;
+  }
+  for (const auto& [id, server] : servers_) {
+    const auto found = by_server.find(server->hash);
+    server->OnOthersLoad(
+        found == by_server.end() ? EngineLoad() : *found->second, now);
+  }
+}
+
 void BackendFleet::Add(const ServerView& view,
                        const ServerAnnouncement& announcement) {
   const Expected<NetworkAddress> address =
--- a/camphorsail/gateway/backend_fleet.h
+++ b/camphorsail/gateway/backend_fleet.h
@@ -9,6 +9,7 @@
 #include "camphorsail/base/ids.h"
 #include "camphorsail/base/mono_time.h"
 #include "camphorsail/gateway/backend_server.h"
+#include "camphorsail/gateway/engine_load.h"
 #include "camphorsail/membership/server_registry.h"
 
 namespace camphorsail {
@@ -27,6 +28,11 @@
   /// are none.
   const Servers& ServersOf(const ModelId& service) const;
 
+  /// @return This gateway's requests on each server that has any.
+  std::vector<EngineLoad> Loads(MonoTime now) const;
+  /// Takes the other gateways' requests on each server that has any.
+  void OnOthersLoads(const std::vector<EngineLoad>& loads, MonoTime now);
+
   size_t size() const { return servers_.size(); }
 
  private:
--- a/camphorsail/gateway/backend_server.cc
+++ b/camphorsail/gateway/backend_server.cc
@@ -7,6 +7,8 @@
 
 /// After this time a report says nothing about the load of other gateways.
 constexpr double kReportLifetimeSeconds = 2;
+/// What the gateways share counts for this long; a few polls may be lost.
+constexpr absl::Duration kSharedLifetime = absl::Milliseconds(1500);
 
 }  // namespace
 
@@ -42,7 +44,15 @@
   return std::max(0.0, 1 - age / kReportLifetimeSeconds);
 }
 
+void BackendServer::OnOthersLoad(const EngineLoad& load, MonoTime now) {
+  others_ = load;
+  others_at_ = now;
+}
+
 double BackendServer::OthersLoad(MonoTime now) const {
+  if (now - others_at_ < kSharedLifetime) {
+    return others_.in_flight;
+  }
   const int others = report_.running + report_.waiting - own_at_report_;
   return std::max(0, others) * ReportWeight(now);
 }
@@ -52,6 +62,15 @@
 }
 
 absl::Duration BackendServer::PromptBacklog(MonoTime now) const {
+  if (now - others_at_ >= kSharedLifetime) {
+    return OwnBacklog(now);
+  }
+  return OwnBacklog(now) +
+         std::max(absl::ZeroDuration(),
+                  absl::Milliseconds(others_.backlog_ms) - (now - others_at_));
+}
+
+absl::Duration BackendServer::OwnBacklog(MonoTime now) const {
   // The engine has been reading since the last prompt was done.
   return std::max(absl::ZeroDuration(),
                   unread_prompts_ - (now - reading_since_));
--- a/camphorsail/gateway/backend_server.h
+++ b/camphorsail/gateway/backend_server.h
@@ -9,15 +9,16 @@
 #include "camphorsail/base/network_address.h"
 #include "camphorsail/base/ref.h"
 #include "camphorsail/gateway/attempt_health.h"
+#include "camphorsail/gateway/engine_load.h"
 #include "camphorsail/gateway/prefix_memory.h"
 #include "camphorsail/gateway/server_reply.h"
 
 namespace camphorsail {
 
 /// What a gateway knows of one incarnation of a backend server: its own
-/// requests there exactly, the other gateways' from the load that answers
-/// report. Held by `BackendFleet` and by its requests; belongs to the loop's
-/// thread.
+/// requests there exactly, the other gateways' from what they share through the
+/// replicas, or else from the load that answers report. Held by `BackendFleet`
+/// and by its requests; belongs to the loop's thread.
 class BackendServer : public RefCounted<BackendServer> {
  public:
   BackendServerId id;
@@ -42,6 +43,8 @@
   void OnPromptDone(absl::Duration prefill, MonoTime now);
   void OnFinished(bool is_quick, MonoTime now);
   void OnReport(const ReportedLoad& load, MonoTime now);
+  /// Takes what the other gateways have there.
+  void OnOthersLoad(const EngineLoad& load, MonoTime now);
 
   /// @return This gateway's requests there.
   int in_flight() const { return in_flight_; }
@@ -55,6 +58,8 @@
   double Waiting(MonoTime now) const;
   /// @return Time until the engine has read the prompts that this gateway has
   /// sent it.
+  absl::Duration OwnBacklog(MonoTime now) const;
+  /// @return Time until the engine has read all prompts, as far as known.
   absl::Duration PromptBacklog(MonoTime now) const;
 
  private:
@@ -66,6 +71,8 @@
   ReportedLoad report_;
   MonoTime reported_at_;
   int own_at_report_ = 0;
+  EngineLoad others_;
+  MonoTime others_at_;
   /// Prompts sent whose first token has not come, and when the engine began to
   /// read the first of them.
   absl::Duration unread_prompts_;
--- /dev/null
+++ b/camphorsail/gateway/engine_load.h
@@ -0,0 +1,61 @@
+#ifndef CAMPHORSAIL_GATEWAY_ENGINE_LOAD_H_
+#define CAMPHORSAIL_GATEWAY_ENGINE_LOAD_H_
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "msgpack.hpp"
+
+namespace camphorsail {
+
+/// The requests that one or more gateways have on one backend server.
+struct EngineLoad {
+  /// Hash of the server's id, equal at all VMs.
+  uint64_t server = 0;
+  uint32_t in_flight = 0;
+  /// Time that the server needs for their prompts that it has not read yet, in
+  /// milliseconds.
+  uint32_t backlog_ms = 0;
+
+  MSGPACK_DEFINE(server, in_flight, backlog_ms)
+};
+
+/// Sums loads by server.
+class EngineLoadSum {
+ public:
+  void Add(const std::vector<EngineLoad>& loads) {
+    for (const EngineLoad& load : loads) {
+      EngineLoad& sum = sums_[load.server];
+      sum.server = load.server;
+      sum.in_flight += load.in_flight;
+      sum.backlog_ms += load.backlog_ms;
+    }
+  }
+  /// Takes away what `Add` has added before.
+  void Subtract(const std::vector<EngineLoad>& loads) {
+    for (const EngineLoad& load : loads) {
+      EngineLoad& sum = sums_[load.server];
+      sum.in_flight -= load.in_flight;
+      sum.backlog_ms -= load.backlog_ms;
+    }
+  }
+  /// @return The servers with any load.
+  std::vector<EngineLoad> Loads() const {
+    std::vector<EngineLoad> loads;
+    loads.reserve(sums_.size());
+    for (const auto& [server, load] : sums_) {
+      if (load.in_flight > 0 || load.backlog_ms > 0) {
+        loads.push_back(load);
+      }
+    }
+    return loads;
+  }
+
+ private:
+  std::map<uint64_t, EngineLoad> sums_;
+};
+
+}  // namespace camphorsail
+
+#endif  // CAMPHORSAIL_GATEWAY_ENGINE_LOAD_H_
--- /dev/null
+++ b/camphorsail/gateway/gateway_group_load.h
@@ -0,0 +1,22 @@
+#ifndef CAMPHORSAIL_GATEWAY_GATEWAY_GROUP_LOAD_H_
+#define CAMPHORSAIL_GATEWAY_GATEWAY_GROUP_LOAD_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "camphorsail/gateway/engine_load.h"
+
+namespace camphorsail {
+
+/// What a replica tells the other replicas of the gateways that poll it.
+struct GatewayGroupLoad {
+  uint32_t gateways = 0;
+  /// Sum over these gateways.
+  std::vector<EngineLoad> loads;
+
+  MSGPACK_DEFINE(gateways, loads)
+};
+
+}  // namespace camphorsail
+
+#endif  // CAMPHORSAIL_GATEWAY_GATEWAY_GROUP_LOAD_H_
--- a/camphorsail/gateway/gateway_poll.h
+++ b/camphorsail/gateway/gateway_poll.h
@@ -2,8 +2,9 @@
 #define CAMPHORSAIL_GATEWAY_GATEWAY_POLL_H_
 
 #include <cstdint>
+#include <vector>
 
-#include "msgpack.hpp"
+#include "camphorsail/gateway/engine_load.h"
 
 namespace camphorsail {
 
@@ -14,8 +15,10 @@
   uint64_t token = 0;
   /// Version that the gateway has; zero for none.
   uint64_t table_version = 0;
+  /// The gateway's own requests, for the placement of the others.
+  std::vector<EngineLoad> loads;
 
-  MSGPACK_DEFINE(token, table_version)
+  MSGPACK_DEFINE(token, table_version, loads)
 };
 
 }  // namespace camphorsail
--- a/camphorsail/gateway/gateway_update.h
+++ b/camphorsail/gateway/gateway_update.h
@@ -6,6 +6,7 @@
 
 #include "camphorsail/base/ids.h"
 #include "camphorsail/base/msgpack_strong_id.h"
+#include "camphorsail/gateway/engine_load.h"
 #include "camphorsail/routing/routing_table.h"
 
 namespace camphorsail {
@@ -23,10 +24,17 @@
   std::vector<RoutingTable> table;
   /// VMs with a replica.
   std::vector<VmId> replicas;
-  /// Gateways that polled this replica lately.
+  /// Gateways that are running, and the requests of all but the receiver.
   uint32_t gateways = 0;
+  std::vector<EngineLoad> loads;
 
-  MSGPACK_DEFINE(token, confirmed, table_version, table, replicas, gateways)
+  MSGPACK_DEFINE(token,
+                 confirmed,
+                 table_version,
+                 table,
+                 replicas,
+                 gateways,
+                 loads)
 };
 
 }  // namespace camphorsail
--- a/camphorsail/peer/peer_frame.cc
+++ b/camphorsail/peer/peer_frame.cc
@@ -53,7 +53,7 @@
 
 bool IsKnownChannel(PeerChannel channel) {
   return channel >= PeerChannel::kConsensus &&
-         channel <= PeerChannel::kGatewayUpdate;
+         channel <= PeerChannel::kGatewayGroupLoad;
 }
 
 }  // namespace camphorsail
--- a/camphorsail/peer/peer_message.h
+++ b/camphorsail/peer/peer_message.h
@@ -27,6 +27,8 @@
   /// A gateway asks a replica for the routing table and a lease.
   kGatewayPoll = 9,
   kGatewayUpdate = 10,
+  /// Replicas tell each other the load of the gateways that poll them.
+  kGatewayGroupLoad = 11,
 };
 
 /// One message between daemons.
--- a/camphorsail/runtime/daemon.cc
+++ b/camphorsail/runtime/daemon.cc
@@ -519,6 +519,32 @@
   }
 }
 
+void Daemon::ShareGatewayLoad(MonoTime now) {
+  if (now < next_group_load_) {
+    return;
+  }
+  next_group_load_ = now + GatewaySessions::kGroupLoadInterval;
+  const GatewayGroupLoad load = gateways_.GroupLoad();
+  std::vector<VmId> replicas;
+  control_->Inspect([&](const ControlNode& node) {
+    for (const Member& member : node.replica().CurrentMembership().members) {
+      if (member.vm != options_.vm) {
+        replicas.push_back(member.vm);
+      }
+    }
+  });
+  for (const VmId& replica : replicas) {
+    if (!peers_->IsConnected(replica)) {
+      continue;
+    }
+    PeerMessage message;
+    message.channel = PeerChannel::kGatewayGroupLoad;
+    message.payload = PackBytes(load);
+    message.replaceable = true;
+    peers_->Send(replica, std::move(message));
+  }
+}
+
 void Daemon::ForgetLostPeers(MonoTime now) {
   for (const PeerStats& peer : peers_->Stats()) {
     if (peer.outbound_connected) {
@@ -582,6 +608,12 @@
       }
       return;
     }
+    case PeerChannel::kGatewayGroupLoad: {
+      if (auto load = UnpackBytes<GatewayGroupLoad>(message.payload)) {
+        gateways_.OnGroupLoad(from, *std::move(load));
+      }
+      return;
+    }
     case PeerChannel::kTimeline:
       collector_.OnMessage(from, message.payload);
       return;
@@ -687,6 +719,7 @@
       PostEngines(now);
       if (!options_.seeds.empty()) {
         ForgetLostPeers(now);
+        ShareGatewayLoad(now);
       }
     }
     if (entry_ == nullptr) {
--- a/camphorsail/runtime/daemon.h
+++ b/camphorsail/runtime/daemon.h
@@ -99,6 +99,8 @@
   /// Sends to a peer; a VM that is not known yet becomes a peer where VMs find
   /// each other at run time.
   void SendTo(const VmId& to, PeerMessage message);
+  /// Tells the other replicas of the gateways that poll this one.
+  void ShareGatewayLoad(MonoTime now);
   /// Removes peers that have been unreachable for long.
   void ForgetLostPeers(MonoTime now);
   void OnPeerMessage(const VmId& from, PeerMessage message);
@@ -130,6 +132,7 @@
   std::unique_ptr<RouteServer> announcements_;
   std::unique_ptr<RouteServer> operators_;
   std::unique_ptr<RouteServer> platform_;
+  MonoTime next_group_load_;
   /// Since when a peer is not connected. Used on the tick thread.
   std::map<VmId, MonoTime> unreachable_since_;
 
--- a/camphorsail/runtime/gateway_daemon.cc
+++ b/camphorsail/runtime/gateway_daemon.cc
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <utility>
 
+#include "camphorsail/base/fnv_hash.h"
 #include "camphorsail/base/monotonic_clock.h"
 #include "camphorsail/base/msgpack_bytes.h"
 #include "camphorsail/gateway/gateway_poll.h"
@@ -17,7 +18,9 @@
 
 /// A change of the table also comes unasked; this is how soon a lost one is
 /// noticed. Several polls fit into a lease.
-constexpr absl::Duration kPollInterval = absl::Milliseconds(300);
+constexpr absl::Duration kPollInterval = absl::Milliseconds(250);
+/// A replica that answers no poll for this long is left for the next one.
+constexpr absl::Duration kReplicaPatience = absl::Milliseconds(750);
 constexpr absl::Duration kDigestInterval = absl::Seconds(2);
 constexpr absl::Duration kRegistryTick = absl::Milliseconds(250);
 /// A server that announces to nobody for this long gets no new work. Failed
@@ -131,7 +134,11 @@
 
 void GatewayDaemon::FollowReplicas(const std::vector<VmId>& replicas) {
   std::vector<VmId> sorted = replicas;
-  std::sort(sorted.begin(), sorted.end());
+  const auto key = [this](const VmId& vm) {
+    return MixBits(Fnv1a64(vm.value()) ^ Fnv1a64(options_.vm.value()));
+  };
+  std::sort(sorted.begin(), sorted.end(),
+            [&](const VmId& a, const VmId& b) { return key(a) < key(b); });
   if (sorted == replicas_ || sorted.empty()) {
     return;
   }
@@ -150,6 +157,7 @@
     }
   }
   replicas_ = std::move(sorted);
+  polled_replica_ = 0;
   LogEvent event("replicas_changed");
   for (size_t i = 0; i < replicas_.size(); ++i) {
     event.Add("replica_" + std::to_string(i), replicas_[i]);
@@ -158,13 +166,19 @@
 
 void GatewayDaemon::Poll() {
   const MonoTime now = loop_.now();
+  // The same replica is polled as long as it answers, so that the others'
+  // load that it knows excludes this gateway's.
+  if (now - answered_at_ >= kReplicaPatience) {
+    answered_at_ = now;
+    ++polled_replica_;
+  }
   for (size_t i = 0; i < replicas_.size(); ++i) {
-    const VmId& replica = replicas_[next_replica_++ % replicas_.size()];
-    if (!peers_->IsConnected(replica)) {
-      continue;
+    const VmId& replica = replicas_[(polled_replica_ + i) % replicas_.size()];
+    if (peers_->IsConnected(replica)) {
+      polled_replica_ = (polled_replica_ + i) % replicas_.size();
+      SendPoll(replica);
+      break;
     }
-    SendPoll(replica);
-    break;
   }
   const bool valid = lease_.IsValid(now);
   if (valid != lease_was_valid_) {
@@ -180,7 +194,8 @@
   PeerMessage message;
   message.channel = PeerChannel::kGatewayPoll;
   message.payload =
-      PackBytes(GatewayPoll{lease_.OnPoll(loop_.now()), table_version_});
+      PackBytes(GatewayPoll{lease_.OnPoll(loop_.now()), table_version_,
+                            gateway_.fleet().Loads(loop_.now())});
   message.replaceable = true;
   peers_->Send(to, std::move(message));
 }
@@ -237,6 +252,10 @@
     FollowReplicas(update.replicas);
     gateway_.SetGatewayCount(static_cast<int>(update.gateways));
   }
+  if (update.token != 0) {
+    answered_at_ = loop_.now();
+    gateway_.fleet().OnOthersLoads(update.loads, loop_.now());
+  }
   if (update.confirmed && update.table_version <= table_version_) {
     lease_.OnConfirmed(update.token);
     gateway_.SetLease(lease_.valid_until());
--- a/camphorsail/runtime/gateway_daemon.h
+++ b/camphorsail/runtime/gateway_daemon.h
@@ -64,8 +64,12 @@
   SignalWatcher* signals_ = nullptr;
 
   uint64_t table_version_ = 0;
+  /// In the order in which this gateway prefers them; each gateway has another
+  /// one.
   std::vector<VmId> replicas_;
-  size_t next_replica_ = 0;
+  /// The replica that is polled, and the last poll that it has answered.
+  size_t polled_replica_ = 0;
+  MonoTime answered_at_;
   size_t next_digest_ = 0;
   MonoTime digest_due_;
   bool lease_was_valid_ = false;
--- a/camphorsail/runtime/gateway_sessions.cc
+++ b/camphorsail/runtime/gateway_sessions.cc
@@ -13,6 +13,7 @@
     Session& session = sessions_[from];
     session.polled_at = hooks_.now();
     session.table_version = poll.table_version;
+    session.loads = poll.loads;
     waiting_[from] = poll;
     if (std::exchange(reading_, true)) {
       return;
@@ -49,10 +50,18 @@
   for (const Member& member : node.replica().CurrentMembership().members) {
     update.replicas.push_back(member.vm);
   }
+  EngineLoadSum all;
   {
     absl::MutexLock lock(&mutex_);
     RemoveExpired();
     update.gateways = static_cast<uint32_t>(sessions_.size());
+    for (const auto& [vm, session] : sessions_) {
+      all.Add(session.loads);
+    }
+    for (const auto& [replica, group] : groups_) {
+      update.gateways += group.load.gateways;
+      all.Add(group.load.loads);
+    }
   }
   if (!result) {
     LogEvent("gateway_polls_unconfirmed", LogLevel::kWarning)
@@ -62,6 +71,9 @@
   for (const auto& [gateway, poll] : polls) {
     GatewayUpdate answer = update;
     answer.token = poll.token;
+    EngineLoadSum others = all;
+    others.Subtract(poll.loads);
+    answer.loads = others.Loads();
     if (poll.table_version < table.version) {
       answer.table.push_back(table);
     }
@@ -69,6 +81,24 @@
   }
 }
 
+void GatewaySessions::OnGroupLoad(const VmId& replica, GatewayGroupLoad load) {
+  absl::MutexLock lock(&mutex_);
+  groups_[replica] = {hooks_.now(), std::move(load)};
+}
+
+GatewayGroupLoad GatewaySessions::GroupLoad() {
+  EngineLoadSum sum;
+  GatewayGroupLoad result;
+  absl::MutexLock lock(&mutex_);
+  RemoveExpired();
+  result.gateways = static_cast<uint32_t>(sessions_.size());
+  for (const auto& [vm, session] : sessions_) {
+    sum.Add(session.loads);
+  }
+  result.loads = sum.Loads();
+  return result;
+}
+
 void GatewaySessions::OnTable(const Ref<SharedRoutingTable>& table) {
   std::vector<VmId> gateways;
   {
@@ -94,6 +124,8 @@
   std::erase_if(sessions_, [&](const auto& item) {
     return item.second.polled_at < oldest;
   });
+  std::erase_if(
+      groups_, [&](const auto& item) { return item.second.heard_at < oldest; });
 }
 
 }  // namespace camphorsail
--- a/camphorsail/runtime/gateway_sessions.h
+++ b/camphorsail/runtime/gateway_sessions.h
@@ -11,6 +11,7 @@
 #include "absl/time/time.h"
 #include "camphorsail/base/ids.h"
 #include "camphorsail/base/mono_time.h"
+#include "camphorsail/gateway/gateway_group_load.h"
 #include "camphorsail/gateway/gateway_poll.h"
 #include "camphorsail/gateway/gateway_update.h"
 #include "camphorsail/runtime/control_runtime.h"
@@ -22,6 +23,10 @@
 /// once. Thread-safe; hooks run under no lock.
 class GatewaySessions {
  public:
+  /// Period of the exchange between replicas: a small part of the time that an
+  /// overloaded engine is behind.
+  static constexpr absl::Duration kGroupLoadInterval = absl::Milliseconds(200);
+
   struct Hooks {
     std::function<void(ControlRuntime::CurrentCallback)> when_current;
     std::function<void(const VmId& gateway, const GatewayUpdate&)> send;
@@ -31,17 +36,27 @@
   explicit GatewaySessions(Hooks hooks) : hooks_(std::move(hooks)) {}
 
   void OnPoll(const VmId& from, const GatewayPoll& poll);
+  /// Takes what another replica tells of the gateways that poll it.
+  void OnGroupLoad(const VmId& replica, GatewayGroupLoad load);
+  /// @return What to tell the other replicas; due every `kGroupLoadInterval`.
+  GatewayGroupLoad GroupLoad();
+
   /// Sends a table to all gateways that have an older one.
   void OnTable(const Ref<SharedRoutingTable>& table);
 
  private:
-  /// A gateway takes its replicas in turn, so that it polls one replica of nine
-  /// every 3 s.
-  static constexpr absl::Duration kSessionLifetime = absl::Seconds(8);
+  /// A gateway that has not polled for this long polls another replica or is
+  /// gone.
+  static constexpr absl::Duration kSessionLifetime = absl::Milliseconds(1500);
 
   struct Session {
     MonoTime polled_at;
     uint64_t table_version = 0;
+    std::vector<EngineLoad> loads;
+  };
+  struct Group {
+    MonoTime heard_at;
+    GatewayGroupLoad load;
   };
   /// The latest poll of each gateway.
   using Polls = std::map<VmId, GatewayPoll>;
@@ -55,6 +70,8 @@
   const Hooks hooks_;
   absl::Mutex mutex_;
   std::map<VmId, Session> sessions_ ABSL_GUARDED_BY(mutex_);
+  /// By the replica that sent it.
+  std::map<VmId, Group> groups_ ABSL_GUARDED_BY(mutex_);
   /// Polls that came after the read in progress began.
   Polls waiting_ ABSL_GUARDED_BY(mutex_);
   bool reading_ ABSL_GUARDED_BY(mutex_) = false;
