Lanes follow the demand; two homes for a prefix where engines are busy

Cause: bulk streams overflowed to the engines of quick streams, and one home for each prefix leaves the load as uneven as the hash.

Change: gateways share the work that arrives by lane; the quick streams keep 1.8 times the engines that their work fills; a prefix has two homes where its engines are busy.

--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -37,6 +37,10 @@
 constexpr absl::Duration kRetryAfter = absl::Milliseconds(300);
 constexpr absl::Duration kRetryAfterUnready = absl::Milliseconds(800);
 constexpr double kRetryAfterPart = 0.3;
+/// Output tokens that are expected before any stream of a route has ended, and
+/// the weight of each one that ends.
+constexpr double kFirstOutputTokens = 200;
+constexpr double kLengthWeight = 0.05;
 constexpr absl::Duration kHousekeeping = absl::Seconds(1);
 
 }  // namespace
@@ -169,6 +173,9 @@
         exchange->deadline, [this, exchange] { OnDeadline(exchange); });
   }
   RetriesOf(exchange->service->name).OnRequest(loop_->now());
+  if (exchange->service->is_engine) {
+    MeterDemand(*exchange);
+  }
   Dispatch(exchange);
 }
 
@@ -235,6 +242,25 @@
   return {};
 }
 
+void Gateway::MeterDemand(const Exchange& exchange) {
+  const double tokens =
+      output_tokens_.try_emplace(exchange.route->name, kFirstOutputTokens)
+          .first->second;
+  demand_.Add(exchange.placement.is_quick,
+              placement_.WorkMs(exchange.placement, tokens,
+                                std::max(1, exchange.service->slots)),
+              loop_->now());
+}
+
+void Gateway::LearnLength(const Exchange& exchange) {
+  const double tokens = static_cast<double>(exchange.events_sent) *
+                        std::max(1, exchange.service->tokens_per_event);
+  double& smoothed =
+      output_tokens_.try_emplace(exchange.route->name, kFirstOutputTokens)
+          .first->second;
+  smoothed += kLengthWeight * (tokens - smoothed);
+}
+
 void Gateway::Dispatch(Exchange* exchange) {
   const MonoTime now = loop_->now();
   if (now >= lease_valid_until_) {
@@ -422,6 +448,7 @@
       return;
     }
     journal_.OnAnswered(*exchange, status, loop_->now());
+    LearnLength(*exchange);
     CallerConnection* caller = exchange->caller;
     Finish(exchange);
     caller->SendEnd();
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "camphorsail/gateway/backend_fleet.h"
 #include "camphorsail/gateway/backend_pool.h"
 #include "camphorsail/gateway/caller_listener.h"
+#include "camphorsail/gateway/demand_meter.h"
 #include "camphorsail/gateway/exchange.h"
 #include "camphorsail/gateway/gateway_journal.h"
 #include "camphorsail/gateway/gateway_settings.h"
@@ -46,6 +47,12 @@
   /// @param count Gateways that share the servers, this one included.
   void SetGatewayCount(int count) { gateway_count_ = count; }
   BackendFleet& fleet() { return fleet_; }
+  /// @return Work that arrives at this gateway.
+  LaneDemand Demand() { return demand_.Rate(loop_->now()); }
+  /// @param demand Work that arrives at all gateways.
+  void SetFleetDemand(const LaneDemand& demand) {
+    placement_.SetDemand(demand);
+  }
 
   /// Reports not ready, and has each answer end its connection.
   void BeginDrain();
@@ -83,6 +90,9 @@
   /// The prompt was read: the first event or the whole answer is here.
   void NoteFirstAnswer(Exchange* exchange);
   void ForwardEvents(Exchange* exchange, std::string_view data);
+  /// Counts the work of a new stream, and learns from a complete one.
+  void MeterDemand(const Exchange& exchange);
+  void LearnLength(const Exchange& exchange);
   /// Ends the attempt after it failed, and tries again where that is allowed.
   /// @param may_have_run False when the server certainly did not run it.
   void Recover(Exchange* exchange,
@@ -109,6 +119,9 @@
   BackendPool pool_;
   BackendFleet fleet_;
   Placement placement_;
+  DemandMeter demand_;
+  /// Output tokens of a stream, smoothed, by route.
+  absl::flat_hash_map<std::string, double> output_tokens_;
   Random random_;
   Ref<RouteIndex> index_;
   MonoTime lease_valid_until_;
--- a/camphorsail/gateway/gateway_group_load.h
+++ b/camphorsail/gateway/gateway_group_load.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "camphorsail/gateway/engine_load.h"
+#include "camphorsail/gateway/lane_demand.h"
 
 namespace camphorsail {
 
@@ -13,8 +14,9 @@
   uint32_t gateways = 0;
   /// Sum over these gateways.
   std::vector<EngineLoad> loads;
+  LaneDemand demand;
 
-  MSGPACK_DEFINE(gateways, loads)
+  MSGPACK_DEFINE(gateways, loads, demand)
 };
 
 }  // namespace camphorsail
--- a/camphorsail/gateway/gateway_poll.h
+++ b/camphorsail/gateway/gateway_poll.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "camphorsail/gateway/engine_load.h"
+#include "camphorsail/gateway/lane_demand.h"
 
 namespace camphorsail {
 
@@ -17,8 +18,9 @@
   uint64_t table_version = 0;
   /// The gateway's own requests, for the placement of the others.
   std::vector<EngineLoad> loads;
+  LaneDemand demand;
 
-  MSGPACK_DEFINE(token, table_version, loads)
+  MSGPACK_DEFINE(token, table_version, loads, demand)
 };
 
 }  // namespace camphorsail
--- a/camphorsail/gateway/gateway_update.h
+++ b/camphorsail/gateway/gateway_update.h
@@ -7,6 +7,7 @@
 #include "camphorsail/base/ids.h"
 #include "camphorsail/base/msgpack_strong_id.h"
 #include "camphorsail/gateway/engine_load.h"
+#include "camphorsail/gateway/lane_demand.h"
 #include "camphorsail/routing/routing_table.h"
 
 namespace camphorsail {
@@ -24,9 +25,11 @@
   std::vector<RoutingTable> table;
   /// VMs with a replica.
   std::vector<VmId> replicas;
-  /// Gateways that are running, and the requests of all but the receiver.
+  /// Gateways that are running, the requests of all but the receiver, and the
+  /// demand of all.
   uint32_t gateways = 0;
   std::vector<EngineLoad> loads;
+  LaneDemand demand;
 
   MSGPACK_DEFINE(token,
                  confirmed,
@@ -34,7 +37,8 @@
                  table,
                  replicas,
                  gateways,
-                 loads)
+                 loads,
+                 demand)
 };
 
 }  // namespace camphorsail
--- a/camphorsail/gateway/placement.cc
+++ b/camphorsail/gateway/placement.cc
@@ -49,6 +49,50 @@
          pairs / 1e6 * settings_.prefill_ms_per_million_pairs;
 }
 
+double Placement::WorkMs(const PlacementRequest& request,
+                         double output_tokens,
+                         int slots) const {
+  const auto whole = static_cast<double>(request.prompt_tokens.value());
+  const double own =
+      request.prefixes.prefixes.empty()
+          ? whole
+          : whole - static_cast<double>(
+                        request.prefixes.prefixes.back().tokens.value());
+  const double step = settings_.step_ms + settings_.step_ms_per_request * slots;
+  return PrefillMs(std::max(0.0, own), whole) + output_tokens * step / slots;
+}
+
+size_t Placement::BulkEngines(size_t engines) const {
+  if (engines < 2) {
+    return 0;
+  }
+  constexpr double kMsPerSecond = 1000;
+  const auto count = static_cast<double>(engines);
+  const double quick = demand_.quick * settings_.quick_headroom / kMsPerSecond;
+  const double bulk = demand_.bulk / kMsPerSecond;
+  const double total = quick + bulk;
+  // Without demand the two are taken to be equal.
+  const double proportional = total > 0 ? count * quick / total : count / 2;
+  const double wanted = std::clamp(std::max(proportional, quick),
+                                   count * settings_.min_quick_part,
+                                   count * settings_.max_quick_part);
+  const double quick_engines = std::clamp(std::round(wanted), 1.0, count - 1);
+  return engines - static_cast<size_t>(quick_engines);
+}
+
+double Placement::SecondHomeShare(bool is_quick, size_t engines) const {
+  if (engines < 2) {
+    return 0;
+  }
+  constexpr double kMsPerSecond = 1000;
+  const double utilization = (is_quick ? demand_.quick : demand_.bulk) /
+                             (kMsPerSecond * static_cast<double>(engines));
+  return std::clamp(
+      (utilization - settings_.one_home_utilization) /
+          (settings_.two_homes_utilization - settings_.one_home_utilization),
+      0.0, 1.0);
+}
+
 Placement::Lane Placement::LaneOf(const BackendFleet::Servers& servers,
                                   const PlacementRequest& request) const {
   // Every gateway orders the engines alike, so that they agree on the lanes.
@@ -61,22 +105,18 @@
             [](const BackendServer* a, const BackendServer* b) {
               return a->hash < b->hash;
             });
-  if (ordered.size() > 1) {
-    const auto size = static_cast<ptrdiff_t>(ordered.size());
-    const auto bulk = static_cast<ptrdiff_t>(
-        std::lround(static_cast<double>(size) * settings_.bulk_part));
-    const auto border =
-        ordered.begin() + std::clamp<ptrdiff_t>(bulk, 1, size - 1);
-    if (request.is_quick) {
-      ordered.erase(ordered.begin(), border);
-    } else {
-      ordered.erase(border, ordered.end());
-    }
+  const auto border =
+      ordered.begin() + static_cast<ptrdiff_t>(BulkEngines(ordered.size()));
+  if (request.is_quick) {
+    ordered.erase(ordered.begin(), border);
+  } else if (border != ordered.begin()) {
+    ordered.erase(border, ordered.end());
   }
   const uint64_t prefix = request.prefixes.prefixes.empty()
                               ? 0
                               : request.prefixes.prefixes.back().hash;
-  return {RankByPrefix(ordered, prefix)};
+  return {RankByPrefix(ordered, prefix),
+          SecondHomeShare(request.is_quick, ordered.size())};
 }
 
 Placement::Estimate Placement::EstimateGeneration(
@@ -92,12 +132,14 @@
                 request.prefixes.prefixes.back().tokens.value());
   const auto place = lane.places.find(&server);
   const bool in_lane = place != lane.places.end();
-  // Whichever gateway had the prefix last sent it to its home.
-  const double cached =
-      in_lane && place->second == 0
-          ? shared
-          : static_cast<double>(
-                server.prefixes.Find(request.prefixes, now).value());
+  // Whichever gateway had the prefix last sent it to one of its homes.
+  const double home_share =
+      in_lane && place->second < 2
+          ? (place->second == 0 ? 1.0 : lane.second_home_share)
+          : 0.0;
+  const double cached = std::max(
+      shared * home_share,
+      static_cast<double>(server.prefixes.Find(request.prefixes, now).value()));
   Estimate estimate;
   estimate.prefill_ms =
       PrefillMs(std::max(0.0, whole - std::min(cached, whole)), whole);
--- a/camphorsail/gateway/placement.h
+++ b/camphorsail/gateway/placement.h
@@ -9,6 +9,7 @@
 #include "camphorsail/base/ids.h"
 #include "camphorsail/base/random.h"
 #include "camphorsail/gateway/backend_fleet.h"
+#include "camphorsail/gateway/lane_demand.h"
 #include "camphorsail/gateway/placement_settings.h"
 #include "camphorsail/gateway/prefix_memory.h"
 
@@ -47,6 +48,17 @@
   Placement(const PlacementSettings& settings, uint64_t seed)
       : settings_(settings), random_(seed) {}
 
+  /// @param demand Work that arrives at all gateways.
+  void SetDemand(const LaneDemand& demand) { demand_ = demand; }
+
+  /// @param output_tokens Expected length of the answer.
+  /// @param slots Of an engine.
+  /// @return Time of one engine that the request takes, shared prefixes being
+  /// cached, in milliseconds.
+  double WorkMs(const PlacementRequest& request,
+                double output_tokens,
+                int slots) const;
+
   /// @param servers Those of the request's service.
   /// @return Without a server when none can take the request.
   PlacementChoice Choose(const BackendFleet::Servers& servers,
@@ -64,6 +76,8 @@
   /// the request's prefix.
   struct Lane {
     absl::flat_hash_map<const BackendServer*, int> places;
+    /// Probability that the engine in the second place caches the prefix too.
+    double second_home_share = 0;
   };
 
   Lane LaneOf(const BackendFleet::Servers& servers,
@@ -74,8 +88,14 @@
                               MonoTime now) const;
   Estimate EstimateCall(const BackendServer& server, MonoTime now) const;
   double PrefillMs(double uncached, double whole) const;
+  /// @return How far the engines of a lane are busy enough for each prefix to
+  /// have two homes, from 0 to 1. The choice between two evens out the load.
+  double SecondHomeShare(bool is_quick, size_t engines) const;
+  /// @return How many of `engines` bulk streams prefer.
+  size_t BulkEngines(size_t engines) const;
 
   const PlacementSettings settings_;
+  LaneDemand demand_;
   Random random_;
 };
 
--- a/camphorsail/gateway/placement_settings.h
+++ b/camphorsail/gateway/placement_settings.h
@@ -26,11 +26,19 @@
   /// Cost for each place that an engine is behind the home of a prefix, in
   /// milliseconds. Has all gateways spill to the same engines.
   double behind_home_ms = 2;
-  /// Part of the engines that bulk streams prefer; quick streams prefer the
-  /// others.
-  double bulk_part = 0.66;
+  /// Part of the engines' time that is in demand below which a prefix has one
+  /// home, and above which it has two.
+  double one_home_utilization = 0.4;
+  double two_homes_utilization = 0.7;
+  /// Engines that quick streams prefer, as a multiple of those that their work
+  /// would fill; bulk streams prefer the others. The rest is divided in the
+  /// same proportion.
+  double quick_headroom = 1.8;
+  /// Bounds of the part of the engines that quick streams prefer.
+  double min_quick_part = 0.2;
+  double max_quick_part = 0.6;
   /// Cost of an engine that is for the other kind of stream, in milliseconds.
-  double bulk_elsewhere_ms = 400;
+  double bulk_elsewhere_ms = 3000;
   double quick_elsewhere_ms = 150;
   /// Cost of another failure domain, in milliseconds: the round trip and the
   /// price of the bytes.
--- a/camphorsail/runtime/gateway_daemon.cc
+++ b/camphorsail/runtime/gateway_daemon.cc
@@ -193,9 +193,10 @@
 void GatewayDaemon::SendPoll(const VmId& to) {
   PeerMessage message;
   message.channel = PeerChannel::kGatewayPoll;
+  const MonoTime now = loop_.now();
   message.payload =
-      PackBytes(GatewayPoll{lease_.OnPoll(loop_.now()), table_version_,
-                            gateway_.fleet().Loads(loop_.now())});
+      PackBytes(GatewayPoll{lease_.OnPoll(now), table_version_,
+                            gateway_.fleet().Loads(now), gateway_.Demand()});
   message.replaceable = true;
   peers_->Send(to, std::move(message));
 }
@@ -255,6 +256,7 @@
   if (update.token != 0) {
     answered_at_ = loop_.now();
     gateway_.fleet().OnOthersLoads(update.loads, loop_.now());
+    gateway_.SetFleetDemand(update.demand);
   }
   if (update.confirmed && update.table_version <= table_version_) {
     lease_.OnConfirmed(update.token);
--- a/camphorsail/runtime/gateway_sessions.cc
+++ b/camphorsail/runtime/gateway_sessions.cc
@@ -14,6 +14,7 @@
     session.polled_at = hooks_.now();
     session.table_version = poll.table_version;
     session.loads = poll.loads;
+    session.demand = poll.demand;
     waiting_[from] = poll;
     if (std::exchange(reading_, true)) {
       return;
@@ -57,10 +58,12 @@
     update.gateways = static_cast<uint32_t>(sessions_.size());
     for (const auto& [vm, session] : sessions_) {
       all.Add(session.loads);
+      update.demand += session.demand;
     }
     for (const auto& [replica, group] : groups_) {
       update.gateways += group.load.gateways;
       all.Add(group.load.loads);
+      update.demand += group.load.demand;
     }
   }
   if (!result) {
@@ -94,6 +97,7 @@
   result.gateways = static_cast<uint32_t>(sessions_.size());
   for (const auto& [vm, session] : sessions_) {
     sum.Add(session.loads);
+    result.demand += session.demand;
   }
   result.loads = sum.Loads();
   return result;
