Streams are quick by their objective

Cause: tickets of the grown deployments allow pauses of 400 ms, so that they were placed with the bulk streams, whose prompts delayed their first event (aim 400 ms).

Change: a stream is quick when its first event is due within a second.

--- a/camphorsail/gateway/backend_server.h
+++ b/camphorsail/gateway/backend_server.h
@@ -37,7 +37,7 @@
   PrefixMemory prefixes;
 
   /// @param prefill Expected time to read the request's prompt; zero for calls.
-  /// @param is_quick True for a stream whose events must not pause for long.
+  /// @param is_quick True for a stream whose first event is due early.
   void OnDispatch(absl::Duration prefill, bool is_quick, MonoTime now);
   /// The request's prompt was read, or its attempt has ended before that.
   void OnPromptDone(absl::Duration prefill, MonoTime now);
--- a/camphorsail/gateway/exchange.h
+++ b/camphorsail/gateway/exchange.h
@@ -30,6 +30,8 @@
   MonoTime started_at;
   absl::Duration prefill;
   absl::Duration expected;
+  /// Requests on the server at the start, as far as known.
+  double load = 0;
   /// See `PlacementChoice`.
   int place = -1;
   /// Time to the first event or to the whole answer.
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -26,9 +26,9 @@
 constexpr absl::Duration kMinTimeLeft = absl::Milliseconds(20);
 /// A caller that reads slower than this many bytes behind pauses its server.
 constexpr size_t kMaxUnsentBytes = 256 * 1024;
-/// Streams whose pauses may be at most this long suffer from long prompts on
+/// Streams whose first event is due this early suffer from long prompts on
 /// their engine.
-constexpr int64_t kQuickGapMs = 350;
+constexpr int64_t kQuickObjectiveMs = 1000;
 /// A stream that begins this late after the start of a drain may not end before
 /// the process must.
 constexpr absl::Duration kLastStreamStart = absl::Milliseconds(2500);
@@ -238,8 +238,8 @@
   placement.prefixes = PromptPrefixes::Of(exchange->request.model,
                                           exchange->request.prompt_parts);
   placement.is_quick = route.kind == RouteKind::kStream &&
-                       route.event_gap_ms > 0 &&
-                       route.event_gap_ms <= kQuickGapMs;
+                       route.objective_ms > 0 &&
+                       route.objective_ms <= kQuickObjectiveMs;
   exchange->last_event = exchange->request.last_event;
   return {};
 }
@@ -283,6 +283,7 @@
   attempt.prefill = choice.prefill;
   attempt.expected = choice.expected;
   attempt.place = choice.place;
+  attempt.load = server.Load(now);
   server.OnDispatch(choice.prefill, exchange->placement.is_quick, now);
   server.prefixes.Record(exchange->placement.prefixes, now);
   attempt.connection = pool_.Take(server.address);
--- a/camphorsail/gateway/gateway_journal.cc
+++ b/camphorsail/gateway/gateway_journal.cc
@@ -24,6 +24,7 @@
     event->Add("server", attempt.server->id)
         .Add("attempt_ms", absl::ToInt64Milliseconds(now - attempt.started_at))
         .Add("place", attempt.place)
+        .Add("load", attempt.load)
         .Add("prefill_ms", absl::ToInt64Milliseconds(attempt.prefill))
         .Add("expected_ms", absl::ToInt64Milliseconds(attempt.expected))
         .Add("first_ms", absl::ToInt64Milliseconds(attempt.first));
--- a/camphorsail/gateway/lane_demand.h
+++ b/camphorsail/gateway/lane_demand.h
@@ -7,7 +7,7 @@
 
 /// Work that arrives for the engines, in engine milliseconds per second.
 struct LaneDemand {
-  /// Streams whose events must not pause for long.
+  /// Streams whose first event is due early.
   double quick = 0;
   /// All other streams.
   double bulk = 0;
--- a/camphorsail/gateway/placement.h
+++ b/camphorsail/gateway/placement.h
@@ -20,7 +20,7 @@
   bool is_generation = false;
   Tokens prompt_tokens;
   PromptPrefixes prefixes;
-  /// True for a stream whose events must not pause for long.
+  /// True for a stream whose first event is due early.
   bool is_quick = false;
   /// Servers that have failed the request already.
   std::vector<BackendServerId> tried;
@@ -43,7 +43,7 @@
 /// answer, with the harm that a long prompt does to streams on its engine.
 /// Engines that cache a prefix are found without messages: each prefix has the
 /// same home engine at every gateway (rendezvous hashing, Thaler and
-/// Ravishankar 1998). Quick streams, whose events must not pause for long, and
+/// Ravishankar 1998). Quick streams, whose first event is due early, and
 /// bulk streams prefer different engines, because an engine reads long prompts
 /// between the tokens of its streams. Belongs to the loop's thread.
 class Placement {
