Admission by the expected first answer; silence counts only where others are answered

Change: a stream is refused when the best engine is full and its first event is expected after 0.9 of the objective; the wait for a slot follows from how long streams hold one; a silent attempt is given up only when the server answers nothing or has answered several later requests.

--- a/camphorsail/gateway/backend_server.cc
+++ b/camphorsail/gateway/backend_server.cc
@@ -7,20 +7,42 @@
 
 /// After this time a report says nothing about the load of other gateways.
 constexpr double kReportLifetimeSeconds = 2;
+/// More urgent requests may overtake a request that is merely queued, but not
+/// this many of one gateway before it has waited for long.
+constexpr int kOvertakenWhenStuck = 4;
 /// What the gateways share counts for this long; a few polls may be lost.
 constexpr absl::Duration kSharedLifetime = absl::Milliseconds(1500);
 
 }  // namespace
 
-void BackendServer::OnDispatch(absl::Duration prefill,
-                               bool is_quick,
-                               MonoTime now) {
+uint64_t BackendServer::OnDispatch(absl::Duration prefill,
+                                   bool is_quick,
+                                   MonoTime now) {
   ++in_flight_;
   quick_streams_ += is_quick ? 1 : 0;
   if (unread_prompts_ <= absl::ZeroDuration()) {
     reading_since_ = now;
   }
   unread_prompts_ += prefill;
+  return ++last_number_;
+}
+
+void BackendServer::OnFirstAnswer(uint64_t number, MonoTime now) {
+  answered_.push_back(number);
+  if (answered_.size() > kAnswersKept) {
+    answered_.pop_front();
+  }
+  answered_at_ = now;
+}
+
+bool BackendServer::IsStuck(uint64_t number, MonoTime dispatched_at) const {
+  if (answered_at_ <= dispatched_at) {
+    return true;
+  }
+  const auto overtaken =
+      std::count_if(answered_.begin(), answered_.end(),
+                    [&](uint64_t answered) { return answered > number; });
+  return overtaken >= kOvertakenWhenStuck;
 }
 
 void BackendServer::OnPromptDone(absl::Duration prefill, MonoTime now) {
--- a/camphorsail/gateway/backend_server.h
+++ b/camphorsail/gateway/backend_server.h
@@ -2,6 +2,7 @@
 #define CAMPHORSAIL_GATEWAY_BACKEND_SERVER_H_
 
 #include <cstdint>
+#include <deque>
 
 #include "absl/time/time.h"
 #include "camphorsail/base/ids.h"
@@ -38,7 +39,14 @@
 
   /// @param prefill Expected time to read the request's prompt; zero for calls.
   /// @param is_quick True for a stream whose first event is due early.
-  void OnDispatch(absl::Duration prefill, bool is_quick, MonoTime now);
+  /// @return The request's number on this server, in the order of dispatch.
+  uint64_t OnDispatch(absl::Duration prefill, bool is_quick, MonoTime now);
+  /// The first part of an answer has come.
+  /// @param number Of the request, by `OnDispatch`.
+  void OnFirstAnswer(uint64_t number, MonoTime now);
+  /// @return True when a request seems to be stuck: the server has answered
+  /// nothing since, or some that were sent later.
+  bool IsStuck(uint64_t number, MonoTime dispatched_at) const;
   /// The request's prompt was read, or its attempt has ended before that.
   void OnPromptDone(absl::Duration prefill, MonoTime now);
   void OnFinished(bool is_quick, MonoTime now);
@@ -66,6 +74,12 @@
   /// @return Weight of the last report, which falls with its age.
   double ReportWeight(MonoTime now) const;
 
+  /// Latest first answers that are kept to find stuck requests.
+  static constexpr size_t kAnswersKept = 32;
+
+  uint64_t last_number_ = 0;
+  std::deque<uint64_t> answered_;
+  MonoTime answered_at_;
   int in_flight_ = 0;
   int quick_streams_ = 0;
   ReportedLoad report_;
--- a/camphorsail/gateway/exchange.h
+++ b/camphorsail/gateway/exchange.h
@@ -27,6 +27,8 @@
 struct ExchangeAttempt {
   Ref<BackendServer> server;
   BackendConnection* connection = nullptr;
+  /// The request's number on the server.
+  uint64_t number = 0;
   MonoTime started_at;
   absl::Duration prefill;
   absl::Duration expected;
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -22,6 +22,8 @@
 /// A stream that may be continued elsewhere is, after this multiple of its
 /// longest pause without an event.
 constexpr double kGapFactor = 3;
+/// How often a request that waits at a busy server is looked at again.
+constexpr absl::Duration kSilenceRecheck = absl::Milliseconds(500);
 /// Too little time is left for an answer from another server.
 constexpr absl::Duration kMinTimeLeft = absl::Milliseconds(20);
 /// A caller that reads slower than this many bytes behind pauses its server.
@@ -40,9 +42,16 @@
 /// Output tokens that are expected before any stream of a route has ended, and
 /// the weight of each one that ends.
 constexpr double kFirstOutputTokens = 200;
+constexpr double kFirstStreamSeconds = 1.5;
 constexpr double kLengthWeight = 0.05;
 /// Weight of one answer in the typical ratio of its time to the expected time.
 constexpr double kRatioWeight = 0.02;
+/// A request is refused when the best server is full and its first answer is
+/// expected later than this part of the objective: late answers are worth
+/// little and delay the others. A caller that is late anyway is served while
+/// the wait is short.
+constexpr double kAdmitPart = 0.9;
+constexpr double kAdmitLatePart = 0.4;
 constexpr absl::Duration kHousekeeping = absl::Seconds(1);
 
 }  // namespace
@@ -261,6 +270,14 @@
       output_tokens_.try_emplace(exchange.route->name, kFirstOutputTokens)
           .first->second;
   smoothed += kLengthWeight * (tokens - smoothed);
+  double& seconds =
+      stream_seconds_.try_emplace(exchange.route->name, kFirstStreamSeconds)
+          .first->second;
+  seconds +=
+      kLengthWeight *
+      (absl::ToDoubleSeconds(loop_->now() - exchange.attempt->started_at -
+                             exchange.attempt->first) -
+       seconds);
 }
 
 void Gateway::Dispatch(Exchange* exchange) {
@@ -269,6 +286,9 @@
     Refuse(exchange, ErrorKind::kLeaseExpired, "no replica confirms the table");
     return;
   }
+  exchange->placement.slot_seconds =
+      stream_seconds_.try_emplace(exchange->route->name, kFirstStreamSeconds)
+          .first->second;
   const PlacementChoice choice = placement_.Choose(
       fleet_.ServersOf(exchange->service->name), exchange->placement, now);
   if (!choice.server) {
@@ -276,6 +296,10 @@
     return;
   }
   BackendServer& server = *choice.server;
+  if (exchange->tries == 0 && !IsWorthSending(*exchange, choice)) {
+    Refuse(exchange, ErrorKind::kOverloaded, "the engines are too busy");
+    return;
+  }
   ++exchange->tries;
   ExchangeAttempt& attempt = exchange->attempt.emplace();
   attempt.server = choice.server;
@@ -284,7 +308,8 @@
   attempt.expected = choice.expected;
   attempt.place = choice.place;
   attempt.load = server.Load(now);
-  server.OnDispatch(choice.prefill, exchange->placement.is_quick, now);
+  attempt.number =
+      server.OnDispatch(choice.prefill, exchange->placement.is_quick, now);
   server.prefixes.Record(exchange->placement.prefixes, now);
   attempt.connection = pool_.Take(server.address);
   const Route& route = *exchange->route;
@@ -300,6 +325,24 @@
                             MakeHandlers(exchange));
 }
 
+bool Gateway::IsWorthSending(const Exchange& exchange,
+                             const PlacementChoice& choice) const {
+  const Route& route = *exchange.route;
+  if (!exchange.service->is_engine || route.objective_ms == 0 ||
+      choice.server->Load(loop_->now()) < choice.server->slots) {
+    return true;
+  }
+  const absl::Duration objective = absl::Milliseconds(route.objective_ms);
+  // A caller that comes back after a refusal has less patience than the route
+  // allows; its objective has been running since its first request.
+  const absl::Duration age =
+      std::max(absl::ZeroDuration(), absl::Milliseconds(route.timeout_ms) -
+                                         exchange.request.patience);
+  const absl::Duration limit =
+      std::max(objective * kAdmitPart - age, objective * kAdmitLatePart);
+  return choice.expected <= limit;
+}
+
 std::string Gateway::BuildRequest(const Exchange& exchange,
                                   const BackendServer& server,
                                   MonoTime now) const {
@@ -388,6 +431,7 @@
   const MonoTime now = loop_->now();
   attempt.first = now - attempt.started_at;
   attempt.server->OnPromptDone(attempt.prefill, now);
+  attempt.server->OnFirstAnswer(attempt.number, now);
   attempt.server->health.OnSuccess(now);
   if (attempt.expected > absl::ZeroDuration()) {
     const double ratio = std::clamp(
@@ -500,6 +544,13 @@
   if (!MayTryAgain(*exchange, /*may_have_run=*/true)) {
     return;
   }
+  const ExchangeAttempt& attempt = *exchange->attempt;
+  if (!attempt.has_answer &&
+      !attempt.server->IsStuck(attempt.number, attempt.started_at)) {
+    // The server is busy with others; elsewhere the wait would begin anew.
+    ArmSilence(exchange, kSilenceRecheck);
+    return;
+  }
   Recover(exchange, "silent", /*may_have_run=*/true, /*timed_out=*/true);
 }
 
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -73,6 +73,9 @@
   Expected<void> Admit(Exchange* exchange);
   /// Sends the exchange to a server, or answers that there is none.
   void Dispatch(Exchange* exchange);
+  /// @return False when the answer would come too late to be worth its work.
+  bool IsWorthSending(const Exchange& exchange,
+                      const PlacementChoice& choice) const;
   std::string BuildRequest(const Exchange& exchange,
                            const BackendServer& server,
                            MonoTime now) const;
@@ -122,6 +125,8 @@
   DemandMeter demand_;
   /// Output tokens of a stream, smoothed, by route.
   absl::flat_hash_map<std::string, double> output_tokens_;
+  /// Time that a stream holds a slot, smoothed, by route.
+  absl::flat_hash_map<std::string, double> stream_seconds_;
   /// Time to the first answer over the expected time, smoothed, by route.
   absl::flat_hash_map<std::string, double> typical_ratio_;
   Random random_;
--- a/camphorsail/gateway/placement.cc
+++ b/camphorsail/gateway/placement.cc
@@ -16,9 +16,10 @@
 constexpr double kEqualMs = 1;
 /// Batch steps before the first token of a request whose prompt is read.
 constexpr double kFirstTokenSteps = 3;
-/// Batch steps until a slot is free on a full engine, for each request that
-/// waits for one.
-constexpr double kStepsPerFreeSlot = 20;
+constexpr double kMsPerSecond = 1000;
+/// Prompts are read between the steps of the streams, which takes this much
+/// longer.
+constexpr double kPromptSlowdown = 1.2;
 /// Batch steps of an ordinary answer, which a fuller batch makes slower.
 constexpr double kStepsPerAnswer = 50;
 
@@ -66,7 +67,6 @@
   if (engines < 2) {
     return 0;
   }
-  constexpr double kMsPerSecond = 1000;
   const auto count = static_cast<double>(engines);
   const double quick = demand_.quick * settings_.quick_headroom / kMsPerSecond;
   const double bulk = demand_.bulk / kMsPerSecond;
@@ -84,7 +84,6 @@
   if (engines < 2) {
     return 0;
   }
-  constexpr double kMsPerSecond = 1000;
   const double utilization = (is_quick ? demand_.quick : demand_.bulk) /
                              (kMsPerSecond * static_cast<double>(engines));
   return std::clamp(
@@ -147,8 +146,8 @@
   const double step = settings_.step_ms + settings_.step_ms_per_request * load;
   const double over = std::max(0.0, load + 1 - server.slots);
   const double queue_ms =
-      absl::ToDoubleMilliseconds(server.PromptBacklog(now)) +
-      (server.Waiting(now) + over) * step * kStepsPerFreeSlot;
+      absl::ToDoubleMilliseconds(server.PromptBacklog(now)) * kPromptSlowdown +
+      over * request.slot_seconds * kMsPerSecond / server.slots;
   estimate.expected_ms =
       (queue_ms + estimate.prefill_ms + kFirstTokenSteps * step) *
       server.health.Slowdown(now);
--- a/camphorsail/gateway/placement.h
+++ b/camphorsail/gateway/placement.h
@@ -22,6 +22,8 @@
   PromptPrefixes prefixes;
   /// True for a stream whose first event is due early.
   bool is_quick = false;
+  /// Time for which a request of this kind holds a slot of its server.
+  double slot_seconds = 1.5;
   /// Servers that have failed the request already.
   std::vector<BackendServerId> tried;
 };
