--- a/camphorsail/consensus/replica.cc
+++ b/camphorsail/consensus/replica.cc
@@ -7,13 +7,6 @@
 #include "camphorsail/consensus/replica_impl.h"
 
 namespace camphorsail {
-namespace {
-
-/// The first election after a start begins after one to two times this part of
-/// the election timeout.
-constexpr double kFirstElectionPart = 0.25;
-
-}  // namespace
 
 Replica::Impl::Impl(ReplicaSettings settings,
                     ReplicaId id,
@@ -44,11 +37,7 @@
   written_ = log_.last().index;
   synced_ = written_;
   leader_heard_ = now;
-  // All replicas may have restarted at once. Where a leader is alive, its
-  // followers refuse the pre-vote, so that an early one does no harm.
-  election_deadline_ =
-      now_ + settings_.election_timeout *
-                 (kFirstElectionPart * (1.0 + random_.Uniform()));
+  ResetElectionDeadline();
 }
 
 void Replica::Impl::Step(const ReplicaEvent& event,
--- a/camphorsail/consensus/replica_election.cc
+++ b/camphorsail/consensus/replica_election.cc
@@ -5,6 +5,14 @@
 
 namespace camphorsail {
 
+namespace {
+
+/// Until a replica has heard of a leader, it starts elections after one to two
+/// times this part of the election timeout.
+constexpr double kFirstElectionPart = 0.25;
+
+}  // namespace
+
 void Replica::Impl::BecomeFollower(TermNumber term,
                                    ReplicaId leader,
                                    const VmId& leader_vm) {
@@ -36,6 +44,7 @@
   }
   leader_ = leader;
   leader_vm_ = leader_vm;
+  has_had_leader_ = has_had_leader_ || leader != ReplicaId();
 }
 
 bool Replica::Impl::IsElectable() const {
@@ -51,8 +60,11 @@
 }
 
 void Replica::Impl::ResetElectionDeadline() {
+  // All replicas may have restarted at once. Where a leader is alive, its
+  // followers refuse the pre-vote, so that an early one does no harm.
+  const double part = has_had_leader_ ? 1.0 : kFirstElectionPart;
   election_deadline_ =
-      now_ + settings_.election_timeout * (1.0 + random_.Uniform());
+      now_ + settings_.election_timeout * (part * (1.0 + random_.Uniform()));
 }
 
 void Replica::Impl::StartPreVote() {
@@ -105,6 +117,7 @@
 
 void Replica::Impl::BecomeLeader() {
   role_ = ReplicaRole::kLeader;
+  has_had_leader_ = true;
   leader_ = id_;
   leader_vm_ = settings_.vm;
   leader_since_ = now_;
--- a/camphorsail/consensus/replica_impl.h
+++ b/camphorsail/consensus/replica_impl.h
@@ -243,6 +243,8 @@
   Snapshot incoming_;
 
   MonoTime next_join_;
+  /// A leader was known at some time since the start.
+  bool has_had_leader_ = false;
   /// When a leader was last heard from.
   MonoTime leader_heard_;
   /// Leader that a join reply named.
