--- /dev/null
+++ b/tests/process/gateway_fleet.py
@@ -0,0 +1,278 @@
+"""Starts control VMs, gateways and stand-in backend servers on loopback addresses, for tests of the deployed path."""
+
+import http.client
+import http.server
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import tempfile
+import threading
+import time
+
+# Generous, so that no verdict depends on the machine's speed.
+LIMIT_S = 60
+CONTROL_VMS = 3
+GATEWAYS = 2
+PEER_PORT = 19340
+ADMIN_PORT = 19355
+PLATFORM_PORT = 19229
+CALLER_PORT = 19227
+READY_PORT = 19220
+HOST = "app.example"
+# The part of the loopback network that this run uses, so that several can run at once.
+NETWORK = os.environ.get("CAMPHORSAIL_TEST_NETWORK", "127.0.3")
+
+
+def wait_until(what, condition, limit_s=LIMIT_S):
+    """Polls a condition and fails with its description when it does not become true."""
+    end = time.monotonic() + limit_s
+    while time.monotonic() < end:
+        if condition():
+            return
+        time.sleep(0.05)
+    raise AssertionError(f"timed out waiting until {what}")
+
+
+class FakeServer:
+    """A backend server that keeps the ids of the requests that it has run. Streams have `EVENTS` events."""
+
+    EVENTS = 12
+
+    def __init__(self, name, service, fleet):
+        self.name = name
+        self.service = service
+        self.fleet = fleet
+        self.runs = []
+        self.lock = threading.Lock()
+        self.sequence = 0
+        self.born = int(time.time() * 1000)
+        self.draining = False
+        self.stopped = threading.Event()
+        owner = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *_):
+                pass
+
+            def do_GET(self):
+                owner.answer(self)
+
+            do_POST = do_GET
+
+        class Server(http.server.ThreadingHTTPServer):
+            daemon_threads = True
+
+            def handle_error(self, *_):
+                pass
+
+        self.http = Server(("127.0.0.1", 0), Handler)
+        self.port = self.http.server_address[1]
+        # A proxy in front of the server, when the test uses one.
+        self.public_port = self.port
+        threading.Thread(target=self.http.serve_forever, daemon=True).start()
+        threading.Thread(target=self._announce, daemon=True).start()
+
+    def answer(self, request):
+        length = int(request.headers.get("Content-Length") or 0)
+        body = request.rfile.read(length)
+        request_id = request.headers["Request-Id"]
+        if request.headers.get("Expect-Instance") != self.name:
+            request.send_response(421)
+            request.send_header("Content-Length", "0")
+            request.end_headers()
+            return
+        first = int(request.headers.get("Last-Event-Id") or -1) + 1
+        with self.lock:
+            self.runs.append((request_id, request.path, request.headers.get("Tenant-Id"), first, time.monotonic()))
+        request.send_response(200)
+        request.send_header("Request-Id", request_id)
+        request.send_header("Response-Signature", f"{self.name}.{request_id}")
+        if not request.path.startswith("/stream/"):
+            text = f"{request_id}:{body.decode()}".encode()
+            request.send_header("Content-Length", str(len(text)))
+            request.end_headers()
+            request.wfile.write(text)
+            return
+        request.send_header("Transfer-Encoding", "chunked")
+        request.end_headers()
+        for event in range(first, self.EVENTS):
+            text = f"id: {event}\ndata: {request_id}/{event}\n\n".encode()
+            request.wfile.write(f"{len(text):x}\r\n".encode() + text + b"\r\n")
+            request.wfile.flush()
+            time.sleep(0.01)
+        request.wfile.write(b"0\r\n\r\n")
+
+    def heartbeat(self):
+        self.sequence += 1
+        body = {"service": self.service, "address": f"127.0.0.1:{self.public_port}", "zone": "z1", "version": "v1",
+                "slots": 8, "state": "draining" if self.draining else "ready", "coldLeftMs": 0,
+                "sequence": self.sequence, "born": self.born}
+        return self.fleet.control_call("PUT", f"/-/instances/{self.name}", json.dumps(body))[0]
+
+    def _announce(self):
+        while not self.stopped.wait(0.5):
+            self.heartbeat()
+
+    def stop(self):
+        self.stopped.set()
+        self.http.shutdown()
+        self.http.server_close()
+
+
+class GatewayFleet:
+    """Three control VMs and two gateways that find each other through seeds, with their servers."""
+
+    def __init__(self, binaries):
+        self.binaries = binaries
+        self.folder = tempfile.mkdtemp(prefix="camphorsail-gateway-")
+        self.processes = {}
+        self.servers = []
+        self.version = 0
+        for name in ("peer", "announce", "admin"):
+            with open(os.path.join(self.folder, name + ".secret"), "w", encoding="utf-8") as file:
+                file.write("0123456789abcdef0123456789abcdef")
+
+    @staticmethod
+    def control_ip(i):
+        return f"{NETWORK}.{i}"
+
+    @staticmethod
+    def gateway_ip(i):
+        return f"{NETWORK}.{100 + i}"
+
+    def _spawn(self, name, lines):
+        settings = os.path.join(self.folder, name + ".settings")
+        with open(settings, "w", encoding="utf-8") as file:
+            file.write("\n".join(lines) + "\n")
+        with open(os.path.join(self.folder, name + ".log"), "ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [os.path.join(self.binaries, "camphorsaild")], stdout=log, stderr=log,
+                env={"PATH": os.environ["PATH"], "CAMPHORSAIL_NODE_FILE": settings})
+
+    def _common(self, ip, roles, zone):
+        seeds = ",".join(f"{self.control_ip(i)}:{PLATFORM_PORT}" for i in range(1, CONTROL_VMS + 1))
+        return [f"vm = {ip}", f"roles = {roles}", f"failure-domain = z{zone}", f"peer-listen = {ip}:{PEER_PORT}",
+                f"seeds = {seeds}", f"peer-secret-file = {self.folder}/peer.secret", "drain-timeout-s = 8"]
+
+    def start_control(self, i, found_group=True):
+        ip = self.control_ip(i)
+        self._spawn(f"control{i}", self._common(ip, "replica,relay", i) + [
+            f"found-group = {'true' if found_group else 'false'}", f"data-folder = {self.data_folder(i)}",
+            f"admin-listen = {ip}:{ADMIN_PORT}", f"announce-listen = {ip}:{ADMIN_PORT + 1}",
+            f"platform-listen = {ip}:{PLATFORM_PORT}",
+            "tolerated-losses = 1", "drain-delay-ms = 0", f"announce-secret-file = {self.folder}/announce.secret",
+            f"admin-secret-file = {self.folder}/admin.secret"])
+
+    def start_gateway(self, i):
+        ip = self.gateway_ip(i)
+        self._spawn(f"gateway{i}", self._common(ip, "gateway", i) + [
+            f"gateway-listen = {ip}:{CALLER_PORT}", f"ready-listen = {ip}:{READY_PORT}", "retry-ratio = 0.5",
+            "retry-slack = 200", "drain-delay-ms = 300"])
+
+    def start(self):
+        for i in range(1, CONTROL_VMS + 1):
+            self.start_control(i)
+        for i in range(1, GATEWAYS + 1):
+            self.start_gateway(i)
+
+    def data_folder(self, i):
+        return os.path.join(self.folder, f"data{i}")
+
+    def add_server(self, name, service):
+        server = FakeServer(name, service, self)
+        self.servers.append(server)
+        return server
+
+    def kill(self, name, number=signal.SIGKILL):
+        self.processes[name].send_signal(number)
+
+    def wait(self, name):
+        return self.processes[name].wait(timeout=LIMIT_S)
+
+    def control_call(self, method, path, body=None, timeout=5, only=None):
+        """Calls the control VMs in turn until one answers below 500; (0, "") when none does."""
+        for i in only or range(1, CONTROL_VMS + 1):
+            connection = http.client.HTTPConnection(self.control_ip(i), PLATFORM_PORT, timeout=timeout)
+            try:
+                connection.request(method, path, body, {"Content-Type": "application/json"})
+                response = connection.getresponse()
+                text = response.read().decode()
+                if response.status < 500:
+                    return response.status, text
+            except (OSError, http.client.HTTPException):
+                continue
+            finally:
+                connection.close()
+        return 0, ""
+
+    def document(self, version, keys=("k1",), note=""):
+        routes = [{"name": "safe", "pathPrefix": "/safe/", "kind": "safe", "maxAttempts": 2},
+                  {"name": "unsafe", "pathPrefix": "/unsafe/", "kind": "unsafe", "maxAttempts": 1},
+                  {"name": "stream", "pathPrefix": "/stream/", "kind": "streaming", "maxAttempts": 2,
+                   "resumable": True}]
+        for route in routes:
+            route.update({"host": HOST, "timeoutMs": 4000, "targetLatencyMs": 0, "service": "svc", "priority": 0})
+        return {"version": version, "routes": routes, "services": [{"name": "svc", "healthPath": "/health"}],
+                "tenants": [{"name": "acc", "apiKeys": list(keys)}], "note": note}
+
+    def put_config(self, document):
+        self.version = max(self.version, document["version"])
+        return self.control_call("PUT", "/-/config", json.dumps(document))[0]
+
+    def is_ready(self, i):
+        connection = http.client.HTTPConnection(self.gateway_ip(i), READY_PORT, timeout=2)
+        try:
+            connection.request("GET", "/")
+            return connection.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            connection.close()
+
+    def request(self, gateway, path, request_id, key="k1", body="x", timeout=6):
+        """@return Status, text and whether the answer is whole; status 0 without an answer."""
+        connection = http.client.HTTPConnection(self.gateway_ip(gateway), CALLER_PORT, timeout=timeout)
+        try:
+            connection.request("POST", path, body, {"Host": HOST, "Request-Id": request_id, "Credential": key,
+                                                    "Request-Deadline": str(int(timeout * 1000))})
+            response = connection.getresponse()
+            text = b""
+            try:
+                while data := response.read1(65536):
+                    text += data
+            except (http.client.IncompleteRead, OSError) as error:
+                text += getattr(error, "partial", b"")
+                return response.status, text.decode(), False
+            return response.status, text.decode(), True
+        except (OSError, http.client.HTTPException):
+            return 0, "", False
+        finally:
+            connection.close()
+
+    def runs(self):
+        all_runs = []
+        for server in self.servers:
+            with server.lock:
+                all_runs += [(server.name,) + run for run in server.runs]
+        return all_runs
+
+    def log(self, name):
+        with open(os.path.join(self.folder, name + ".log"), encoding="utf-8") as file:
+            return file.read()
+
+    def stop(self, keep=False):
+        for server in self.servers:
+            server.stop()
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+        if not keep:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
--- /dev/null
+++ b/tests/process/gateway_path_test.py
@@ -0,0 +1,106 @@
+"""The deployed path as processes: control VMs and gateways that find each other, the platform's calls, and faults."""
+
+import json
+import shutil
+import signal
+import sys
+import time
+import unittest
+
+from gateway_fleet import GatewayFleet, FakeServer, wait_until
+
+BINARIES = sys.argv.pop(1)
+
+
+class GatewayPathTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = GatewayFleet(BINARIES)
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start()
+        wait_until("a table is accepted", lambda: self.fleet.put_config(self.fleet.document(1)) == 200)
+        self.first = self.fleet.add_server("s1", "svc")
+        self.second = self.fleet.add_server("s2", "svc")
+        for i in (1, 2):
+            wait_until("the gateways serve", lambda i=i: self.fleet.request(i, "/safe/x", f"warm{i}")[0] == 200)
+
+    def test_requests_are_served_and_refused_by_the_table(self):
+        self.assertEqual(self.fleet.request(1, "/unsafe/x", "r1")[:2], (200, "r1:x"))
+        status, text, whole = self.fleet.request(2, "/stream/x", "r2")
+        self.assertEqual((status, whole, text.count("data: r2/")), (200, True, FakeServer.EVENTS))
+        self.assertEqual(self.fleet.request(1, "/safe/x", "r3", key="other")[0], 401)
+        self.assertEqual(self.fleet.request(1, "/none/x", "r4")[0], 404)
+        runs = [run for run in self.fleet.runs() if run[1] == "r1"]
+        self.assertEqual([(run[2], run[3]) for run in runs], [("/unsafe/x", "acc")])
+
+    def test_invalid_tables_are_refused_and_valid_ones_are_read_back(self):
+        bad = self.fleet.document(5)
+        bad["routes"][0]["service"] = "none"
+        self.assertEqual(self.fleet.put_config(bad), 400)
+        good = self.fleet.document(6, note="six")
+        self.assertEqual(self.fleet.put_config(good), 200)
+        self.assertEqual(self.fleet.put_config(self.fleet.document(6, note="other")), 200)
+        self.assertEqual(self.fleet.put_config(self.fleet.document(2, note="old")), 200)
+        for i in (1, 2, 3):
+            status, text = self.fleet.control_call("GET", "/-/config", only=[i])
+            self.assertEqual((status, json.loads(text)), (200, good))
+
+    def test_revoked_key_ends_at_every_gateway(self):
+        self.assertEqual(self.fleet.put_config(self.fleet.document(2, keys=("k2",))), 200)
+        for i in (1, 2):
+            wait_until("the key is refused", lambda i=i: self.fleet.request(i, "/safe/x", f"old{i}")[0] == 401, 5)
+            self.assertEqual(self.fleet.request(i, "/safe/x", f"new{i}", key="k2")[0], 200)
+
+    def test_control_vm_with_a_lost_disk_joins_again(self):
+        self.assertEqual(self.fleet.put_config(self.fleet.document(2, note="kept")), 200)
+        for i in (1, 2):
+            self.fleet.kill(f"control{i}")
+            self.fleet.wait(f"control{i}")
+            shutil.rmtree(self.fleet.data_folder(i))
+            self.fleet.start_control(i, found_group=False)
+            wait_until("the VM answers reads again",
+                       lambda i=i: self.fleet.control_call("GET", "/-/config", only=[i])[0] == 200)
+            # The next loss comes once the new replica votes.
+            wait_until("a change is accepted", lambda i=i: self.fleet.put_config(
+                self.fleet.document(10 + i, note="kept")) == 200)
+            time.sleep(4)
+        self.assertEqual(json.loads(self.fleet.control_call("GET", "/-/config")[1])["note"], "kept")
+
+    def test_gateway_without_a_quorum_refuses_and_recovers(self):
+        for i in (1, 2):
+            self.fleet.kill(f"control{i}")
+            self.fleet.wait(f"control{i}")
+        wait_until("the lease ends", lambda: self.fleet.request(1, "/safe/x", "refused")[0] == 503)
+        status, text, _ = self.fleet.request(1, "/unsafe/x", "promised")
+        self.assertEqual((status, json.loads(text)["error"]["request_was_run"]), (503, "no"))
+        self.assertEqual([run for run in self.fleet.runs() if run[1] == "promised"], [])
+        self.assertFalse(self.fleet.is_ready(1))
+        for i in (1, 2):
+            self.fleet.start_control(i, found_group=False)
+        wait_until("the gateway serves again", lambda: self.fleet.request(1, "/safe/x", "again")[0] == 200)
+
+    def test_leaving_server_gets_no_new_work(self):
+        self.first.draining = True
+        self.assertEqual(self.first.heartbeat(), 200)
+        time.sleep(2)
+        before = len(self.first.runs)
+        for n in range(20):
+            self.assertEqual(self.fleet.request(1 + n % 2, "/safe/x", f"d{n}")[0], 200)
+        self.assertEqual(len(self.first.runs), before)
+
+    def test_gateway_stops_gracefully(self):
+        self.fleet.kill("gateway1", signal.SIGTERM)
+        self.assertEqual(self.fleet.request(1, "/stream/x", "late")[0], 200)
+        self.assertEqual(self.fleet.wait("gateway1"), 0)
+        self.assertIn("event=daemon_stopped all_requests_finished=true", self.fleet.log("gateway1"))
+
+    def test_reload_signal_ends_no_process(self):
+        for name in ("control1", "gateway1"):
+            self.fleet.kill(name, signal.SIGHUP)
+        time.sleep(0.5)
+        for name in ("control1", "gateway1"):
+            self.assertIsNone(self.fleet.processes[name].poll())
+            self.assertIn("event=settings_reload", self.fleet.log(name))
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
--- /dev/null
+++ b/tests/soak/gateway_soak.py
@@ -0,0 +1,253 @@
+"""Randomized faults against the real programs, which check the promises from what callers and servers see.
+
+Usage: gateway_soak.py BINARIES [--seed N] [--seconds S] [--keep]
+
+Processes are killed, paused, stopped and restarted, control VMs lose their disks one at a time, connections to servers
+are delayed, reset and silenced, tables change and keys are revoked meanwhile. Exit code 1 when a promise was broken.
+"""
+
+import argparse
+import collections
+import json
+import os
+import random
+import shutil
+import signal
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "process"))
+
+from fault_proxy import FaultProxy  # noqa: E402
+from gateway_fleet import CONTROL_VMS, GATEWAYS, FakeServer, GatewayFleet, wait_until  # noqa: E402
+
+SERVERS = 4
+CALLERS = 6
+# A key that was taken away must be dead this long after the change was acknowledged.
+REVOKE_S = 5.0
+# A VM with an empty disk votes again after at most this time.
+CATCH_UP_S = 6.0
+
+
+class Soak:
+    def __init__(self, binaries, seed):
+        self.random = random.Random(seed)
+        self.fleet = GatewayFleet(binaries)
+        self.proxies = []
+        self.stopping = threading.Event()
+        self.lock = threading.Lock()
+        self.results = {}
+        self.sent_at = {}
+        self.broken = []
+        self.live_key = "k1"
+        self.revoked = {}
+        self.config_lock = threading.Lock()
+        self.acknowledged = 0
+        self.disk_lost_at = 0.0
+        self.counts = collections.Counter()
+
+    def start(self):
+        self.fleet.start()
+        wait_until("a table is accepted", lambda: self.put(keys=("k1",)))
+        for n in range(SERVERS):
+            server = self.fleet.add_server(f"s{n}", "svc")
+            proxy = FaultProxy(server.port)
+            server.public_port = proxy.port
+            self.proxies.append(proxy)
+        for i in range(1, GATEWAYS + 1):
+            wait_until("the gateways serve", lambda i=i: self.fleet.request(i, "/safe/x", f"warm{i}")[0] == 200)
+
+    def put(self, keys):
+        """@return True when the change was acknowledged."""
+        with self.config_lock:
+            version = self.fleet.version + 1 + self.random.randrange(3)
+            status = self.fleet.put_config(self.fleet.document(version, keys=keys, note=f"n{version}"))
+            if status == 200:
+                self.acknowledged = max(self.acknowledged, version)
+            elif status not in (0,):
+                self.broken.append(f"valid table {version} was answered {status}")
+            return status == 200
+
+    def fail(self, text):
+        with self.lock:
+            self.broken.append(text)
+
+    # Callers and their checks.
+
+    def run_caller(self, number, seed):
+        rng = random.Random(seed)
+        count = 0
+        while not self.stopping.is_set():
+            count += 1
+            request_id = f"c{number}-{count}"
+            kind = rng.choice(["safe", "unsafe", "unsafe", "stream"])
+            key = self.live_key
+            sent = time.monotonic()
+            with self.lock:
+                self.sent_at[request_id] = (sent, key)
+            status, text, whole = self.fleet.request(rng.randrange(1, GATEWAYS + 1), f"/{kind}/x", request_id, key=key,
+                                                     body=request_id, timeout=6)
+            with self.lock:
+                self.results[request_id] = (kind, status)
+                self.counts[kind, status if whole else "cut"] += 1
+            if status == 200 and whole:
+                self.check_answer(request_id, kind, text)
+            time.sleep(rng.uniform(0, 0.05))
+
+    def check_answer(self, request_id, kind, text):
+        if kind != "stream":
+            if text != f"{request_id}:{request_id}":
+                self.fail(f"{request_id}: answer of another request: {text[:80]}")
+            return
+        expected = "".join(f"id: {n}\ndata: {request_id}/{n}\n\n" for n in range(FakeServer.EVENTS))
+        if text != expected:
+            self.fail(f"{request_id}: stream that looks complete is not: {text[:200]!r}")
+
+    def check_runs(self):
+        runs = collections.defaultdict(list)
+        for server, request_id, path, account, first, at in self.fleet.runs():
+            runs[request_id].append((server, path, first, at))
+            if account != "acc":
+                self.fail(f"{request_id}: ran for account {account}")
+        for request_id, attempts in runs.items():
+            if request_id.startswith("warm"):
+                continue
+            kind, status = self.results.get(request_id, ("?", -1))
+            sent, key = self.sent_at.get(request_id, (0, None))
+            if key is None:
+                self.fail(f"{request_id}: ran and was never sent")
+                continue
+            if kind == "unsafe" and len(attempts) > 1:
+                self.fail(f"{request_id}: ran {len(attempts)} times")
+            if kind == "unsafe" and status in (408, 421, 429, 503):
+                self.fail(f"{request_id}: answered {status} and ran")
+            if kind != "unsafe" and len(attempts) > 2:
+                self.fail(f"{request_id}: ran on {len(attempts)} servers")
+            dead_at = self.revoked.get(key)
+            if dead_at is not None and sent > dead_at + REVOKE_S:
+                self.fail(f"{request_id}: ran {sent - dead_at:.1f} s after its key was revoked")
+
+    # Faults.
+
+    def paused(self, name, seconds):
+        self.fleet.kill(name, signal.SIGSTOP)
+        time.sleep(seconds)
+        self.fleet.kill(name, signal.SIGCONT)
+
+    def restart(self, name, number):
+        self.fleet.kill(name, number)
+        code = self.fleet.wait(name)
+        if number == signal.SIGTERM and code != 0:
+            self.fail(f"{name}: exit code {code} after SIGTERM")
+        time.sleep(self.random.uniform(0, 1))
+        index = int(name[-1])
+        if name.startswith("control"):
+            self.fleet.start_control(index, found_group=False)
+        else:
+            self.fleet.start_gateway(index)
+
+    def one_fault(self):
+        rng = self.random
+        control = f"control{rng.randrange(1, CONTROL_VMS + 1)}"
+        gateway = f"gateway{rng.randrange(1, GATEWAYS + 1)}"
+        proxy = rng.choice(self.proxies)
+        fault = rng.choice(["kill_control", "kill_gateway", "term_gateway", "term_control", "pause_control",
+                            "pause_gateway", "wipe", "reset", "silence", "delay", "refuse", "table", "table", "revoke",
+                            "hup"])
+        print(f"{time.monotonic() - self.began:7.2f} {fault} {control} {gateway}", flush=True)
+        if fault == "kill_control":
+            self.restart(control, signal.SIGKILL)
+        elif fault == "kill_gateway":
+            self.restart(gateway, signal.SIGKILL)
+        elif fault == "term_gateway":
+            self.restart(gateway, signal.SIGTERM)
+        elif fault == "term_control":
+            self.restart(control, signal.SIGTERM)
+        elif fault == "pause_control":
+            self.paused(control, rng.uniform(0.5, 4))
+        elif fault == "pause_gateway":
+            self.paused(gateway, rng.uniform(0.5, 6))
+        elif fault == "wipe" and time.monotonic() - self.disk_lost_at > CATCH_UP_S:
+            self.fleet.kill(control)
+            self.fleet.wait(control)
+            shutil.rmtree(self.fleet.data_folder(int(control[-1])), ignore_errors=True)
+            self.fleet.start_control(int(control[-1]), found_group=False)
+            # The next disk is lost only once this replica votes again.
+            time.sleep(CATCH_UP_S)
+            self.disk_lost_at = time.monotonic()
+        elif fault == "reset":
+            proxy.reset_all()
+        elif fault in ("silence", "delay", "refuse"):
+            proxy.silenced = rng.choice(["to", "from"]) if fault == "silence" else None
+            proxy.delay_s = rng.uniform(0.01, 0.3) if fault == "delay" else 0.0
+            proxy.refusing = fault == "refuse"
+            time.sleep(rng.uniform(0.5, 3))
+            proxy.heal()
+            proxy.reset_all()
+        elif fault == "table":
+            self.put(keys=(self.live_key,))
+        elif fault == "revoke":
+            old, new = self.live_key, f"k{rng.randrange(10**6)}"
+            if self.put(keys=(old, new)):
+                time.sleep(0.5)
+                self.live_key = new
+                if self.put(keys=(new,)):
+                    self.revoked[old] = time.monotonic()
+        elif fault == "hup":
+            self.fleet.kill(rng.choice([control, gateway]), signal.SIGHUP)
+
+    def run(self, seconds):
+        self.began = time.monotonic()
+        callers = [threading.Thread(target=self.run_caller, args=(n, self.random.random())) for n in range(CALLERS)]
+        for caller in callers:
+            caller.start()
+        while time.monotonic() - self.began < seconds:
+            self.one_fault()
+            time.sleep(self.random.uniform(0.1, 1.0))
+        self.stopping.set()
+        for caller in callers:
+            caller.join()
+
+    def check_end(self):
+        for i in range(1, GATEWAYS + 1):
+            wait_until("the gateways serve after the faults",
+                       lambda i=i: self.fleet.request(i, "/safe/x", f"warm-end{i}", key=self.live_key)[0] == 200, 20)
+        status, text = 0, ""
+        end = time.monotonic() + 20
+        while status != 200 and time.monotonic() < end:
+            status, text = self.fleet.control_call("GET", "/-/config")
+        if status != 200:
+            self.fail("the table cannot be read back")
+        elif json.loads(text)["version"] < self.acknowledged:
+            self.fail(f"table {self.acknowledged} was acknowledged, and {json.loads(text)['version']} is read back")
+        self.check_runs()
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("binaries")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--keep", action="store_true", help="keep the processes' logs")
+    options = parser.parse_args()
+    soak = Soak(options.binaries, options.seed)
+    try:
+        soak.start()
+        soak.run(options.seconds)
+        soak.check_end()
+        for proxy in soak.proxies:
+            proxy.close()
+    finally:
+        keep = options.keep or bool(soak.broken)
+        soak.fleet.stop(keep=keep)
+        if keep:
+            print(f"logs: {soak.fleet.folder}")
+    print(f"seed {options.seed}: {dict(soak.counts)}")
+    for text in soak.broken[:20]:
+        print(f"BROKEN seed {options.seed}: {text}")
+    return 1 if soak.broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
