Refused minutes of gateways reach the report; lost answers are found on idle servers

Cause: gateways refused without recording the minute. A control VM could need 9 s to stop, since listeners' workers waited for calls that had 4 s to time out.

Change: refusals travel with the polls until one is answered, and the replica records the minute; a silent request is stuck when its server is not busy; the control path stops before the listeners. Replicas of one VM are followed once.

Test: RefusalOutboxTest, BackendServerTest.RequestIsStuckWhenTheServerIsNotBusy, test_refused_minutes_reach_the_report; all pass.

--- a/camphorsail/gateway/backend_server.cc
+++ b/camphorsail/gateway/backend_server.cc
@@ -10,6 +10,8 @@
 /// More urgent requests may overtake a request that is merely queued, but not
 /// this many of one gateway before it has waited for long.
 constexpr int kOvertakenWhenStuck = 4;
+/// A server with less to read than this has no reason to let a request wait.
+constexpr absl::Duration kBusyBacklog = absl::Milliseconds(400);
 /// What the gateways share counts for this long; a few polls may be lost.
 constexpr absl::Duration kSharedLifetime = absl::Milliseconds(1500);
 
@@ -35,8 +37,11 @@
   answered_at_ = now;
 }
 
-bool BackendServer::IsStuck(uint64_t number, MonoTime dispatched_at) const {
-  if (answered_at_ <= dispatched_at) {
+bool BackendServer::IsStuck(uint64_t number,
+                            MonoTime dispatched_at,
+                            MonoTime now) const {
+  const bool is_busy = Load(now) > slots || PromptBacklog(now) > kBusyBacklog;
+  if (answered_at_ <= dispatched_at || !is_busy) {
     return true;
   }
   const auto overtaken =
--- a/camphorsail/gateway/backend_server.h
+++ b/camphorsail/gateway/backend_server.h
@@ -44,9 +44,10 @@
   /// The first part of an answer has come.
   /// @param number Of the request, by `OnDispatch`.
   void OnFirstAnswer(uint64_t number, MonoTime now);
-  /// @return True when a request seems to be stuck: the server has answered
-  /// nothing since, or some that were sent later.
-  bool IsStuck(uint64_t number, MonoTime dispatched_at) const;
+  /// @return True when a request that has waited for long seems to be stuck:
+  /// the server has answered nothing since, or some that were sent later, or it
+  /// is not busy.
+  bool IsStuck(uint64_t number, MonoTime dispatched_at, MonoTime now) const;
   /// The request's prompt was read, or its attempt has ended before that.
   void OnPromptDone(absl::Duration prefill, MonoTime now);
   void OnFinished(bool is_quick, MonoTime now);
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -548,7 +548,8 @@
   }
   const ExchangeAttempt& attempt = *exchange->attempt;
   if (!attempt.has_answer &&
-      !attempt.server->IsStuck(attempt.number, attempt.started_at)) {
+      !attempt.server->IsStuck(attempt.number, attempt.started_at,
+                               loop_->now())) {
     // The server is busy with others; elsewhere the wait would begin anew.
     ArmSilence(exchange, kSilenceRecheck);
     return;
@@ -630,6 +631,9 @@
                      ErrorKind kind,
                      std::string_view reason) {
   journal_.OnRefused(*exchange, kind, reason, loop_->now());
+  if (exchange->route != nullptr && GetErrorTraits(kind).counts_as_refused) {
+    refusals_.Add(exchange->account, ClassId(exchange->route->name), kind);
+  }
   CallerConnection* caller = exchange->caller;
   if (exchange->streaming) {
     Finish(exchange);
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "camphorsail/gateway/gateway_journal.h"
 #include "camphorsail/gateway/gateway_settings.h"
 #include "camphorsail/gateway/placement.h"
+#include "camphorsail/gateway/refusal_outbox.h"
 #include "camphorsail/gateway/wire_dialect.h"
 #include "camphorsail/net/event_loop.h"
 #include "camphorsail/routing/route_index.h"
@@ -47,6 +48,7 @@
   /// @param count Gateways that share the servers, this one included.
   void SetGatewayCount(int count) { gateway_count_ = count; }
   BackendFleet& fleet() { return fleet_; }
+  RefusalOutbox& refusals() { return refusals_; }
   /// @return Work that arrives at this gateway.
   LaneDemand Demand() { return demand_.Rate(loop_->now()); }
   /// @param demand Work that arrives at all gateways.
@@ -130,6 +132,7 @@
   BackendFleet fleet_;
   Placement placement_;
   DemandMeter demand_;
+  RefusalOutbox refusals_;
   /// Output tokens of a stream, smoothed, by route.
   absl::flat_hash_map<std::string, double> output_tokens_;
   /// Time that a stream holds a slot, smoothed, by route.
--- a/camphorsail/gateway/gateway_poll.h
+++ b/camphorsail/gateway/gateway_poll.h
@@ -6,6 +6,7 @@
 
 #include "camphorsail/gateway/engine_load.h"
 #include "camphorsail/gateway/lane_demand.h"
+#include "camphorsail/gateway/refusal_report.h"
 
 namespace camphorsail {
 
@@ -19,8 +20,10 @@
   /// The gateway's own requests, for the placement of the others.
   std::vector<EngineLoad> loads;
   LaneDemand demand;
+  /// Minutes to record.
+  std::vector<RefusalReport> refusals;
 
-  MSGPACK_DEFINE(token, table_version, loads, demand)
+  MSGPACK_DEFINE(token, table_version, loads, demand, refusals)
 };
 
 }  // namespace camphorsail
--- a/camphorsail/runtime/daemon.cc
+++ b/camphorsail/runtime/daemon.cc
@@ -197,17 +197,19 @@
   if (tick_thread_.joinable()) {
     tick_thread_.join();
   }
-  // Threads that call into other parts stop before the parts they call.
+  // Threads that call into other parts stop before the parts they call. The
+  // control path answers what still waits for it, so that no listener's worker
+  // is waited for until its call times out.
   callers_.reset();
-  platform_.reset();
-  operators_.reset();
-  announcements_.reset();
   if (peers_ != nullptr) {
     peers_->Stop();
   }
   if (control_ != nullptr) {
     control_->Stop();
   }
+  platform_.reset();
+  operators_.reset();
+  announcements_.reset();
   order_sender_.reset();
 }
 
@@ -604,6 +606,12 @@
       return;
     case PeerChannel::kGatewayPoll: {
       if (const auto poll = UnpackBytes<GatewayPoll>(message.payload)) {
+        for (const RefusalReport& report : poll->refusals) {
+          if (report.kind < kErrorKindCount) {
+            control_->Post(RefusalEvent{report.account, report.class_id,
+                                        static_cast<ErrorKind>(report.kind)});
+          }
+        }
         gateways_.OnPoll(from, *poll);
       }
       return;
--- a/camphorsail/runtime/gateway_daemon.cc
+++ b/camphorsail/runtime/gateway_daemon.cc
@@ -139,6 +139,8 @@
   };
   std::sort(sorted.begin(), sorted.end(),
             [&](const VmId& a, const VmId& b) { return key(a) < key(b); });
+  // A VM that lost its disk has two replicas until the old one is removed.
+  sorted.erase(std::unique(sorted.begin(), sorted.end()), sorted.end());
   if (sorted == replicas_ || sorted.empty()) {
     return;
   }
@@ -194,9 +196,10 @@
   PeerMessage message;
   message.channel = PeerChannel::kGatewayPoll;
   const MonoTime now = loop_.now();
-  message.payload =
-      PackBytes(GatewayPoll{lease_.OnPoll(now), table_version_,
-                            gateway_.fleet().Loads(now), gateway_.Demand()});
+  const uint64_t token = lease_.OnPoll(now);
+  message.payload = PackBytes(
+      GatewayPoll{token, table_version_, gateway_.fleet().Loads(now),
+                  gateway_.Demand(), gateway_.refusals().Take(token)});
   message.replaceable = true;
   peers_->Send(to, std::move(message));
 }
@@ -255,6 +258,7 @@
   }
   if (update.token != 0) {
     answered_at_ = loop_.now();
+    gateway_.refusals().OnAnswered(update.token);
     gateway_.fleet().OnOthersLoads(update.loads, loop_.now());
     gateway_.SetFleetDemand(update.demand);
   }
--- a/tests/process/gateway_path_test.py
+++ b/tests/process/gateway_path_test.py
@@ -78,6 +78,13 @@
             self.fleet.start_control(i, found_group=False)
         wait_until("the gateway serves again", lambda: self.fleet.request(1, "/safe/x", "again")[0] == 200)
 
+    def test_refused_minutes_reach_the_report(self):
+        for server in (self.first, self.second):
+            server.draining = True
+            self.assertEqual(server.heartbeat(), 200)
+        wait_until("a request is refused", lambda: self.fleet.request(1, "/unsafe/x", "refused")[0] == 503)
+        wait_until("the minute is reported", lambda: '"unsafe"' in self.fleet.refused_minutes(), 10)
+
     def test_leaving_server_gets_no_new_work(self):
         self.first.draining = True
         self.assertEqual(self.first.heartbeat(), 200)
--- a/tests/unit/gateway/decisions_test.cc
+++ b/tests/unit/gateway/decisions_test.cc
@@ -5,6 +5,7 @@
 #include "camphorsail/gateway/backend_server.h"
 #include "camphorsail/gateway/event_stream.h"
 #include "camphorsail/gateway/placement.h"
+#include "camphorsail/gateway/refusal_outbox.h"
 #include "camphorsail/gateway/retry_allowance.h"
 #include "camphorsail/gateway/table_lease.h"
 #include "gtest/gtest.h"
@@ -54,6 +55,23 @@
   EXPECT_TRUE(allowance.TryRetry(4, At(10.1)));
 }
 
+// Against a minute that is lost with the poll that reported it.
+TEST(RefusalOutboxTest, ReportsUntilAPollIsAnswered) {
+  RefusalOutbox outbox;
+  outbox.Add(ClientAccountId("a"), ClassId("c"), ErrorKind::kOverloaded);
+  outbox.Add(ClientAccountId("a"), ClassId("c"), ErrorKind::kBackendFailed);
+  ASSERT_EQ(outbox.Take(5).size(), 1U);
+  outbox.OnAnswered(4);
+  outbox.Add(ClientAccountId("b"), ClassId("c"), ErrorKind::kOverloaded);
+  EXPECT_EQ(outbox.Take(6).size(), 2U);
+  outbox.OnAnswered(5);
+  const std::vector<RefusalReport> left = outbox.Take(7);
+  ASSERT_EQ(left.size(), 1U);
+  EXPECT_EQ(left[0].account, ClientAccountId("b"));
+  outbox.OnAnswered(7);
+  EXPECT_TRUE(outbox.Take(8).empty());
+}
+
 TEST(EventStreamTest, PassesOnWholeEvents) {
   EventStream stream;
   EXPECT_EQ(stream.Take("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
@@ -90,16 +108,32 @@
 
 TEST(BackendServerTest, RequestIsStuckWhenLaterOnesAreAnswered) {
   BackendServer server;
+  server.slots = 1;
   const uint64_t first = server.OnDispatch(absl::ZeroDuration(), true, At(0));
-  EXPECT_TRUE(server.IsStuck(first, At(0)));
+  EXPECT_TRUE(server.IsStuck(first, At(0), At(0)));
   for (int i = 1; i <= 3; ++i) {
     const uint64_t later = server.OnDispatch(absl::ZeroDuration(), true, At(i));
     server.OnFirstAnswer(later, At(i + 0.1));
   }
-  EXPECT_FALSE(server.IsStuck(first, At(0)));
+  EXPECT_FALSE(server.IsStuck(first, At(0), At(4)));
   server.OnFirstAnswer(server.OnDispatch(absl::ZeroDuration(), true, At(4)),
                        At(4.1));
-  EXPECT_TRUE(server.IsStuck(first, At(0)));
+  EXPECT_TRUE(server.IsStuck(first, At(0), At(4.2)));
+}
+
+// Against an answer that was lost on its way while the server goes on with
+// others: the request waited until its caller's deadline.
+TEST(BackendServerTest, RequestIsStuckWhenTheServerIsNotBusy) {
+  BackendServer server;
+  server.slots = 8;
+  const uint64_t first = server.OnDispatch(absl::ZeroDuration(), true, At(0));
+  server.OnFirstAnswer(server.OnDispatch(absl::ZeroDuration(), true, At(1)),
+                       At(1.1));
+  EXPECT_TRUE(server.IsStuck(first, At(0), At(4)));
+  server.OnOthersLoad({0, 9, 0}, At(4));
+  EXPECT_FALSE(server.IsStuck(first, At(0), At(4)));
+  server.OnOthersLoad({0, 2, 2000}, At(4));
+  EXPECT_FALSE(server.IsStuck(first, At(0), At(4)));
 }
 
 TEST(BackendServerTest, SharedLoadGoesBeforeReportsWhileItIsFresh) {
