--- a/camphorsail/gateway/placement_settings.h
+++ b/camphorsail/gateway/placement_settings.h
@@ -22,7 +22,7 @@
   /// Cost of reading a token of a shared prefix that another engine has cached,
   /// in milliseconds: the deployments charge for it about as much as for a
   /// request that waits this long.
-  double reread_ms_per_token = 0.3;
+  double reread_ms_per_token = 0.6;
   /// Cost for each place that an engine is behind the home of a prefix, in
   /// milliseconds. Has all gateways spill to the same engines.
   double behind_home_ms = 2;
