--- a/camphorsail/gateway/placement_settings.h
+++ b/camphorsail/gateway/placement_settings.h
@@ -33,7 +33,7 @@
   /// Engines that quick streams prefer, as a multiple of those that their work
   /// would fill; bulk streams prefer the others. The rest is divided in the
   /// same proportion.
-  double quick_headroom = 1.2;
+  double quick_headroom = 1.5;
   /// Bounds of the part of the engines that quick streams prefer.
   double min_quick_part = 0.2;
   double max_quick_part = 0.6;
