--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -52,6 +52,7 @@
 /// the wait is short.
 constexpr double kAdmitPart = 0.9;
 constexpr double kAdmitLatePart = 0.4;
+constexpr char kMetricsPath[] = "/metrics";
 constexpr absl::Duration kHousekeeping = absl::Seconds(1);
 
 }  // namespace
@@ -63,6 +64,7 @@
     : settings_(settings),
       dialect_(dialect),
       loop_(loop),
+      metrics_(metrics),
       journal_(metrics),
       pool_(settings.pool, loop),
       placement_(settings.placement, settings.seed),
@@ -96,8 +98,9 @@
   callers_ = *std::move(callers);
 
   CallerHandlers ready_handlers;
-  ready_handlers.on_request = [this](CallerConnection* caller, HttpRequestHead,
-                                     std::string) { OnReadyRequest(caller); };
+  ready_handlers.on_request =
+      [this](CallerConnection* caller, const HttpRequestHead& head,
+             const std::string&) { OnReadyRequest(caller, head.target); };
   ready_handlers.on_bad_request = [](CallerConnection* caller, ErrorKind kind) {
     caller->SendWhole(GetErrorTraits(kind).http_status, HttpHeaders(), "");
   };
@@ -152,7 +155,14 @@
   return retries_.try_emplace(service, settings_.retries).first->second;
 }
 
-void Gateway::OnReadyRequest(CallerConnection* caller) {
+void Gateway::OnReadyRequest(CallerConnection* caller,
+                             const std::string& target) {
+  if (target == kMetricsPath) {
+    HttpHeaders headers;
+    headers.Add("Content-Type", "text/plain; version=0.0.4");
+    caller->SendWhole(200, headers, metrics_->Render());
+    return;
+  }
   caller->SendWhole(IsReady() ? 200 : 503, HttpHeaders(), "");
 }
 
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -73,7 +73,8 @@
                  HttpRequestHead head,
                  std::string body);
   void OnBadRequest(CallerConnection* caller, ErrorKind kind);
-  void OnReadyRequest(CallerConnection* caller);
+  /// Answers whether the gateway is ready, and `/metrics`.
+  void OnReadyRequest(CallerConnection* caller, const std::string& target);
   /// Finds route, account and deadline.
   /// @return Nothing, or the error to answer with.
   Expected<void> Admit(Exchange* exchange);
@@ -127,6 +128,7 @@
   const GatewaySettings settings_;
   const WireDialect dialect_;
   EventLoop* const loop_;
+  Metrics* const metrics_;
   GatewayJournal journal_;
   BackendPool pool_;
   BackendFleet fleet_;
--- a/tests/process/gateway_fleet.py
+++ b/tests/process/gateway_fleet.py
@@ -234,6 +234,14 @@
         finally:
             connection.close()
 
+    def metrics(self, i):
+        connection = http.client.HTTPConnection(self.gateway_ip(i), READY_PORT, timeout=5)
+        try:
+            connection.request("GET", "/metrics")
+            return connection.getresponse().read().decode()
+        finally:
+            connection.close()
+
     def request(self, gateway, path, request_id, key="k1", body="x", timeout=6):
         """@return Status, text and whether the answer is whole; status 0 without an answer."""
         connection = http.client.HTTPConnection(self.gateway_ip(gateway), CALLER_PORT, timeout=timeout)
--- a/tests/process/gateway_path_test.py
+++ b/tests/process/gateway_path_test.py
@@ -100,6 +100,11 @@
         self.assertEqual(self.fleet.wait("gateway1"), 0)
         self.assertIn("event=daemon_stopped all_requests_finished=true", self.fleet.log("gateway1"))
 
+    def test_gateway_serves_its_metrics(self):
+        text = self.fleet.metrics(1)
+        self.assertIn('camphorsail_gateway_requests_total{route="safe",outcome="200"}', text)
+        self.assertIn("camphorsail_gateway_answer_seconds_bucket", text)
+
     def test_reload_signal_ends_no_process(self):
         for name in ("control1", "gateway1"):
             self.fleet.kill(name, signal.SIGHUP)
