A failed continuation does not end a stream as complete

Change: a continuation that is no 200 counts as a failed attempt; another one follows, or the stream is cut.

Test: GatewayTest.StreamWhoseContinuationFailsIsCut, which failed before for 500 and 404.

--- a/camphorsail/gateway/gateway_answer.cc
+++ b/camphorsail/gateway/gateway_answer.cc
@@ -10,6 +10,8 @@
 namespace camphorsail {
 namespace {
 
+/// Status of an answer that is a stream.
+constexpr int kStreamStatus = 200;
 /// Attempts of one request, those included that reached no server.
 constexpr int kMaxTries = 4;
 /// A stream that may be continued elsewhere is, after this multiple of its
@@ -56,7 +58,7 @@
     return;
   }
   if (exchange->route->kind == RouteKind::kStream &&
-      attempt.head->status == 200) {
+      attempt.head->status == kStreamStatus) {
     ForwardEvents(exchange, data);
     return;
   }
@@ -136,6 +138,12 @@
             /*timed_out=*/false);
     return;
   }
+  if (exchange->streaming && status != kStreamStatus) {
+    // The server that was to continue the stream failed instead.
+    Recover(exchange, absl::StrCat("status_", status), /*may_have_run=*/true,
+            /*timed_out=*/false);
+    return;
+  }
   if (exchange->streaming) {
     exchange->caller->SendData(attempt.events.rest());
     if (exchange->finished) {
@@ -162,7 +170,7 @@
     attempt.server->health.OnFailure(loop_->now());
   }
   const bool is_short_stream =
-      exchange->route->kind == RouteKind::kStream && status == 200;
+      exchange->route->kind == RouteKind::kStream && status == kStreamStatus;
   const std::string body =
       is_short_stream ? attempt.events.rest() : attempt.body;
   const HttpHeaders headers = ReplyHeaders(*attempt.head);
--- a/tests/unit/gateway/gateway_test.cc
+++ b/tests/unit/gateway/gateway_test.cc
@@ -252,6 +252,29 @@
   EXPECT_TRUE(NoFurtherAttempt());
 }
 
+// Against a stream that ends as complete because the server that was to
+// continue it answered with an error.
+TEST_F(GatewayTest, StreamWhoseContinuationFailsIsCut) {
+  for (const char* status : {"500 Error", "404 Not Found"}) {
+    RawSocket caller = Call("/stream/x");
+    RawSocket* first = NextAttempt();
+    ASSERT_NE(first, nullptr);
+    first->Write(
+        "HTTP/1.1 200 OK\r\nX-Id: 42\r\nX-Signature: one\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+        "f\r\nid: 0\ndata: a\n\n\r\n");
+    ASSERT_TRUE(WaitFor(&caller, "data: a\n\n"));
+    first->Reset();
+    RawSocket* second = NextAttempt();
+    ASSERT_NE(second, nullptr);
+    second->Write(Answer(status, kSigned, "sorry"));
+    ASSERT_TRUE(driver_.RunUntil(
+        [&] { return caller.HasEnded() || caller.Has("\r\n0\r\n\r\n"); }));
+    EXPECT_FALSE(caller.Has("\r\n0\r\n")) << status;
+    EXPECT_FALSE(caller.Has("sorry")) << status;
+  }
+}
+
 TEST_F(GatewayTest, CallerThatLeavesCancelsItsCall) {
   RawSocket caller = Call("/unsafe/x");
   RawSocket* server = NextAttempt();
