--- a/camphorsail/gateway/backend_connection.h
+++ b/camphorsail/gateway/backend_connection.h
@@ -44,7 +44,6 @@
   /// Stops and resumes reading, for a caller that reads slowly.
   void SetPaused(bool paused);
 
-  bool is_closed() const { return fd_ < 0; }
   /// @return When the connection became idle.
   MonoTime idle_since() const { return idle_since_; }
   /// @return How long the server keeps an idle connection open; infinite when
--- a/camphorsail/gateway/backend_fleet.h
+++ b/camphorsail/gateway/backend_fleet.h
@@ -33,8 +33,6 @@
   /// Takes the other gateways' requests on each server that has any.
   void OnOthersLoads(const std::vector<EngineLoad>& loads, MonoTime now);
 
-  size_t size() const { return servers_.size(); }
-
  private:
   void Add(const ServerView& view, const ServerAnnouncement& announcement);
   void Remove(const BackendServerId& id);
--- a/camphorsail/gateway/backend_pool.cc
+++ b/camphorsail/gateway/backend_pool.cc
@@ -33,7 +33,6 @@
     }
     connection->Cancel();
   }
-  ++opened_;
   auto owned = std::make_unique<BackendConnection>(
       settings_.source_ip, address, settings_.connect_timeout, loop_, &owner_);
   BackendConnection* connection = owned.get();
@@ -41,18 +40,6 @@
   return connection;
 }
 
-void BackendPool::Forget(const NetworkAddress& address) {
-  const auto found = idle_.find(ToString(address));
-  if (found == idle_.end()) {
-    return;
-  }
-  const Connections idle = std::move(found->second);
-  idle_.erase(found);
-  for (BackendConnection* connection : idle) {
-    connection->Cancel();
-  }
-}
-
 void BackendPool::CloseIdle() {
   std::vector<BackendConnection*> expired;
   for (const auto& [address, idle] : idle_) {
--- a/camphorsail/gateway/backend_pool.h
+++ b/camphorsail/gateway/backend_pool.h
@@ -40,15 +40,9 @@
   /// a new one. Valid until it is closed.
   BackendConnection* Take(const NetworkAddress& address);
 
-  /// Closes the idle connections to a server that is gone.
-  void Forget(const NetworkAddress& address);
-
   /// Closes connections that have been idle for too long; due every second.
   void CloseIdle();
 
-  /// @return Connections opened since the start.
-  uint64_t opened() const { return opened_; }
-
  private:
   using Connections = std::vector<BackendConnection*>;
 
@@ -67,7 +61,6 @@
   absl::flat_hash_map<BackendConnection*, Entry> connections_;
   /// By address, the one used last at the end.
   absl::flat_hash_map<std::string, Connections> idle_;
-  uint64_t opened_ = 0;
 };
 
 }  // namespace camphorsail
--- a/camphorsail/gateway/backend_server.cc
+++ b/camphorsail/gateway/backend_server.cc
@@ -84,10 +84,6 @@
   return std::max(0, others) * ReportWeight(now);
 }
 
-double BackendServer::Waiting(MonoTime now) const {
-  return report_.waiting * ReportWeight(now);
-}
-
 absl::Duration BackendServer::PromptBacklog(MonoTime now) const {
   if (now - others_at_ >= kSharedLifetime) {
     return OwnBacklog(now);
--- a/camphorsail/gateway/backend_server.h
+++ b/camphorsail/gateway/backend_server.h
@@ -63,8 +63,6 @@
   double Load(MonoTime now) const { return in_flight_ + OthersLoad(now); }
   /// @return Requests of the other gateways there.
   double OthersLoad(MonoTime now) const;
-  /// @return Requests that waited there for a slot at the last report.
-  double Waiting(MonoTime now) const;
   /// @return Time until the engine has read the prompts that this gateway has
   /// sent it.
   absl::Duration OwnBacklog(MonoTime now) const;
--- a/camphorsail/gateway/caller_connection.h
+++ b/camphorsail/gateway/caller_connection.h
@@ -49,8 +49,6 @@
 
   /// @return Bytes of the answer that the network has not taken yet.
   size_t unsent_bytes() const { return out_.size() - out_offset_; }
-  bool is_busy() const { return state_ == State::kAnswering; }
-  bool is_closed() const { return fd_ < 0; }
 
  private:
   enum class State : uint8_t {
--- a/camphorsail/gateway/caller_listener.h
+++ b/camphorsail/gateway/caller_listener.h
@@ -40,7 +40,6 @@
 
   /// @return The port that is listened on.
   uint16_t port() const { return port_; }
-  size_t connection_count() const { return connections_.size(); }
 
  private:
   CallerListener(int fd,
--- a/camphorsail/gateway/event_stream.h
+++ b/camphorsail/gateway/event_stream.h
@@ -19,8 +19,6 @@
 
   /// @return What follows the last whole event.
   const std::string& rest() const { return rest_; }
-  /// Drops what follows the last whole event.
-  void DropRest() { rest_.clear(); }
   /// @return Id of the last whole event that had one.
   std::optional<uint64_t> last_id() const { return last_id_; }
   /// @return Whole events so far.
--- a/tests/process/gateway_fleet.py
+++ b/tests/process/gateway_fleet.py
@@ -12,8 +12,8 @@
 import threading
 import time
 
-# Generous, so that no verdict depends on the machine's speed.
-LIMIT_S = 60
+from fleet import LIMIT_S, wait_until  # noqa: F401, the tests of the gateways take both from here
+
 CONTROL_VMS = 3
 GATEWAYS = 2
 PEER_PORT = 19340
@@ -26,16 +26,6 @@
 NETWORK = os.environ.get("CAMPHORSAIL_TEST_NETWORK", "127.0.3")
 
 
-def wait_until(what, condition, limit_s=LIMIT_S):
-    """Polls a condition and fails with its description when it does not become true."""
-    end = time.monotonic() + limit_s
-    while time.monotonic() < end:
-        if condition():
-            return
-        time.sleep(0.05)
-    raise AssertionError(f"timed out waiting until {what}")
-
-
 class FakeServer:
     """A backend server that keeps the ids of the requests that it has run. Streams have `EVENTS` events."""
 
