--- a/camphorsail/control/control_node.cc
+++ b/camphorsail/control/control_node.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "camphorsail/base/random.h"
 #include "camphorsail/membership/vm_directory.h"
 #include "camphorsail/orders/order_book.h"
@@ -127,6 +128,7 @@
     }
   }
   Advance();
+  NoteReplica();
   Publish(actions);
   for (ControlAction& action : step_actions_) {
     actions->push_back(std::move(action));
@@ -219,6 +221,27 @@
   }
 }
 
+void ControlNode::NoteReplica() {
+  const VmId leader = replica_->LeaderHint();
+  if (leader != noted_leader_ || replica_->term() != noted_term_) {
+    noted_leader_ = leader;
+    noted_term_ = replica_->term();
+    Note("leader_changed", {{"leader", leader.value()},
+                            {"term", absl::StrCat(noted_term_.value())}});
+  }
+  if (replica_->CurrentMembership() != noted_membership_) {
+    noted_membership_ = replica_->CurrentMembership();
+    std::vector<std::string> voters;
+    std::vector<std::string> learners;
+    for (const Member& member : noted_membership_.members) {
+      (member.kind == MemberKind::kVoter ? voters : learners)
+          .push_back(member.vm.value());
+    }
+    Note("members_changed", {{"voters", absl::StrJoin(voters, ",")},
+                             {"learners", absl::StrJoin(learners, ",")}});
+  }
+}
+
 void ControlNode::AdvanceRegistration() {
   UpdateRegistered();
   if (registered_ || registration_in_flight_ || leave_deadline_.has_value()) {
--- a/camphorsail/control/control_node.h
+++ b/camphorsail/control/control_node.h
@@ -106,6 +106,8 @@
 
   /// Starts what is due: registration, accounting, ledger batches, resends.
   void Advance();
+  /// Notes a new leader, term or membership.
+  void NoteReplica();
   void AdvanceRegistration();
   void AdvanceAccounting();
   void AdvanceLedger();
@@ -180,6 +182,11 @@
   bool leave_submitted_ = false;
   bool left_ = false;
 
+  /// What `NoteReplica` told last.
+  VmId noted_leader_;
+  TermNumber noted_term_;
+  Membership noted_membership_;
+
   bool settings_changed_ = true;
   MonoTime published_lease_;
   Ref<SharedRoutingTable> published_routing_;
--- a/camphorsail/gateway/backend_fleet.cc
+++ b/camphorsail/gateway/backend_fleet.cc
@@ -93,7 +93,13 @@
   server->slots = std::max(1, view.capacity);
   servers_[view.server] = server;
   by_address_[announcement.description.address] = server;
-  by_service_[server->service].push_back(server);
+  Servers& servers = by_service_[server->service];
+  servers.insert(std::upper_bound(servers.begin(), servers.end(), server,
+                                  [](const Ref<BackendServer>& a,
+                                     const Ref<BackendServer>& b) {
+                                    return a->hash < b->hash;
+                                  }),
+                 server);
   LogEvent("server_available")
       .Add("server", view.server)
       .Add("service", server->service)
--- a/camphorsail/gateway/caller_connection.cc
+++ b/camphorsail/gateway/caller_connection.cc
@@ -43,10 +43,12 @@
 CallerConnection::CallerConnection(int fd,
                                    EventLoop* loop,
                                    const CallerLimits& limits,
+                                   CallerBudget* budget,
                                    const CallerHandlers* handlers)
     : fd_(fd),
       loop_(loop),
       limits_(limits),
+      budget_(budget),
       handlers_(handlers),
       state_since_(loop->now()),
       heard_at_(loop->now()) {
@@ -59,12 +61,25 @@
 }
 
 CallerConnection::~CallerConnection() {
+  ReleaseHeld();
   if (fd_ >= 0) {
     loop_->Unwatch(watch_);
     close(fd_);
   }
 }
 
+bool CallerConnection::Hold(size_t bytes) {
+  if (!budget_->Take(bytes)) {
+    return false;
+  }
+  held_bytes_ += bytes;
+  return true;
+}
+
+void CallerConnection::ReleaseHeld() {
+  budget_->Release(std::exchange(held_bytes_, 0));
+}
+
 const http_parser_settings& CallerConnection::ParserSettings() {
   static const http_parser_settings settings = [] {
     http_parser_settings value;
@@ -83,6 +98,7 @@
 
 int CallerConnection::OnMessageBegin(http_parser* parser) {
   CallerConnection* self = Self(parser);
+  self->ReleaseHeld();
   self->head_ = HttpRequestHead();
   self->body_.clear();
   self->rejected_ = false;
@@ -131,6 +147,9 @@
   if (static_cast<int64_t>(bytes) > self->limits_.max_header_bytes) {
     return reject(ErrorKind::kHeadersTooLarge);
   }
+  if (!self->Hold(bytes)) {
+    return reject(ErrorKind::kOverloaded);
+  }
   // Another reader of ambiguous framing could see a second request in the body.
   const std::string* encoding = head.headers.Find("transfer-encoding");
   const bool ambiguous =
@@ -166,6 +185,11 @@
     self->rejection_ = ErrorKind::kBodyTooLarge;
     return -1;
   }
+  if (!self->Hold(size)) {
+    self->rejected_ = true;
+    self->rejection_ = ErrorKind::kOverloaded;
+    return -1;
+  }
   self->body_.append(data, size);
   return 0;
 }
@@ -342,6 +366,7 @@
 
 void CallerConnection::FinishAnswer() {
   answer_complete_ = true;
+  ReleaseHeld();
   Write();
 }
 
@@ -479,6 +504,7 @@
   }
   loop_->Unwatch(watch_);
   close(std::exchange(fd_, -1));
+  ReleaseHeld();
   handlers_->on_closed(this);
 }
 
--- a/camphorsail/gateway/caller_connection.h
+++ b/camphorsail/gateway/caller_connection.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "camphorsail/base/mono_time.h"
+#include "camphorsail/gateway/caller_budget.h"
 #include "camphorsail/gateway/caller_handlers.h"
 #include "camphorsail/gateway/http_parse.h"
 #include "camphorsail/net/event_loop.h"
@@ -24,6 +25,7 @@
   CallerConnection(int fd,
                    EventLoop* loop,
                    const CallerLimits& limits,
+                   CallerBudget* budget,
                    const CallerHandlers* handlers);
   ~CallerConnection();
   CallerConnection(const CallerConnection&) = delete;
@@ -71,6 +73,10 @@
   static int OnBody(http_parser* parser, const char* data, size_t size);
   static int OnMessageComplete(http_parser* parser);
 
+  /// @return False when the listener's callers hold too much already.
+  bool Hold(size_t bytes);
+  /// Gives back what the present request holds.
+  void ReleaseHeld();
   void OnEvents(uint32_t events);
   void Read();
   void ParseInput();
@@ -84,7 +90,10 @@
   int fd_;
   EventLoop* const loop_;
   const CallerLimits limits_;
+  CallerBudget* const budget_;
   const CallerHandlers* const handlers_;
+  /// Bytes of the present request that are counted in the budget.
+  size_t held_bytes_ = 0;
   EventLoop::WatchId watch_ = 0;
   uint32_t watched_events_ = 0;
 
--- a/camphorsail/gateway/caller_listener.cc
+++ b/camphorsail/gateway/caller_listener.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "camphorsail/net/tcp_socket.h"
+#include "camphorsail/process/log_event.h"
 
 namespace camphorsail {
 namespace {
@@ -20,23 +21,26 @@
     const NetworkAddress& address,
     EventLoop* loop,
     std::function<CallerLimits()> limits,
+    const CallerBudgetSettings& budget,
     CallerHandlers handlers) {
   const Expected<int> fd = ListenTcp(address);
   if (!fd) {
     return tl::unexpected<Error>(fd.error());
   }
-  return std::unique_ptr<CallerListener>(
-      new CallerListener(*fd, loop, std::move(limits), std::move(handlers)));
+  return std::unique_ptr<CallerListener>(new CallerListener(
+      *fd, loop, std::move(limits), budget, std::move(handlers)));
 }
 
 CallerListener::CallerListener(int fd,
                                EventLoop* loop,
                                std::function<CallerLimits()> limits,
+                               const CallerBudgetSettings& budget,
                                CallerHandlers handlers)
     : fd_(fd),
       port_(LocalAddress(fd).port),
       loop_(loop),
       limits_(std::move(limits)),
+      budget_(budget),
       handlers_(std::move(handlers)) {
   handlers_.on_closed = [this, inner = std::move(handlers_.on_closed)](
                             CallerConnection* connection) {
@@ -66,8 +70,15 @@
     if (fd < 0) {
       return;
     }
-    auto owned =
-        std::make_unique<CallerConnection>(fd, loop_, limits_(), &handlers_);
+    if (!budget_.MayAccept(connections_.size())) {
+      close(fd);
+      ++turned_away_;
+      LogEvent("caller_turned_away", LogLevel::kWarning)
+          .Add("open", connections_.size());
+      continue;
+    }
+    auto owned = std::make_unique<CallerConnection>(fd, loop_, limits_(),
+                                                    &budget_, &handlers_);
     CallerConnection* connection = owned.get();
     if (last_requests_) {
       connection->SetLastRequest();
--- a/camphorsail/gateway/caller_listener.h
+++ b/camphorsail/gateway/caller_listener.h
@@ -19,12 +19,14 @@
 class CallerListener {
  public:
   /// @param limits Asked for each new connection.
+  /// @param budget Of all connections together.
   /// @param handlers Of all connections; `on_closed` may be empty.
   /// @return The listening object; the error of `ListenTcp`.
   static Expected<std::unique_ptr<CallerListener>> Create(
       const NetworkAddress& address,
       EventLoop* loop,
       std::function<CallerLimits()> limits,
+      const CallerBudgetSettings& budget,
       CallerHandlers handlers);
   ~CallerListener();
   CallerListener(const CallerListener&) = delete;
@@ -40,11 +42,17 @@
 
   /// @return The port that is listened on.
   uint16_t port() const { return port_; }
+  size_t open_connections() const { return connections_.size(); }
+  /// @return Bytes of requests that are held.
+  size_t held_bytes() const { return budget_.used(); }
+  /// @return Connections that were closed at once for lack of room.
+  uint64_t turned_away() const { return turned_away_; }
 
  private:
   CallerListener(int fd,
                  EventLoop* loop,
                  std::function<CallerLimits()> limits,
+                 const CallerBudgetSettings& budget,
                  CallerHandlers handlers);
 
   void Accept();
@@ -54,7 +62,9 @@
   uint16_t port_ = 0;
   EventLoop* const loop_;
   const std::function<CallerLimits()> limits_;
+  CallerBudget budget_;
   CallerHandlers handlers_;
+  uint64_t turned_away_ = 0;
   EventLoop::WatchId watch_ = 0;
   EventLoop::TimerId sweep_timer_;
   bool last_requests_ = false;
--- a/camphorsail/gateway/exchange.h
+++ b/camphorsail/gateway/exchange.h
@@ -80,6 +80,11 @@
   /// Last event that the caller was sent.
   std::optional<uint64_t> last_event;
   uint64_t events_sent = 0;
+  /// Time from arrival to the first event or to the whole answer; zero before.
+  absl::Duration wait;
+  /// When the latest events were passed on, and the longest time between two.
+  MonoTime events_at;
+  absl::Duration longest_pause;
 
   EventLoop::TimerId deadline_timer;
   EventLoop::TimerId silence_timer;
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -35,6 +35,11 @@
 constexpr double kAdmitLatePart = 0.4;
 constexpr char kMetricsPath[] = "/metrics";
 constexpr absl::Duration kHousekeeping = absl::Seconds(1);
+/// When a caller may come back whose request found no room in memory.
+constexpr absl::Duration kRetryWhenFull = absl::Milliseconds(300);
+/// The platform and the readers of metrics are few.
+constexpr CallerBudgetSettings kReadyCallers = {.max_connections = 64,
+                                                .max_request_bytes = 1 << 20};
 
 }  // namespace
 
@@ -47,6 +52,7 @@
       loop_(loop),
       metrics_(metrics),
       journal_(metrics),
+      gauges_(metrics),
       pool_(settings.pool, loop),
       placement_(settings.placement, settings.seed),
       random_(settings.seed ^ 0x726f757465) {}
@@ -71,29 +77,30 @@
   const auto limits = [this] {
     return index_ ? index_->table().limits : CallerLimits();
   };
-  Expected<std::unique_ptr<CallerListener>> callers =
-      CallerListener::Create(settings_.listen, loop_, limits, handlers);
+  Expected<std::unique_ptr<CallerListener>> callers = CallerListener::Create(
+      settings_.listen, loop_, limits, settings_.callers, handlers);
   if (!callers) {
     return tl::unexpected<Error>(callers.error());
   }
   callers_ = *std::move(callers);
 
-  CallerHandlers ready_handlers;
-  ready_handlers.on_request =
-      [this](CallerConnection* caller, const HttpRequestHead& head,
-             const std::string&) { OnReadyRequest(caller, head.target); };
-  ready_handlers.on_bad_request = [](CallerConnection* caller, ErrorKind kind) {
-    caller->SendWhole(GetErrorTraits(kind).http_status, HttpHeaders(), "");
-  };
-  ready_handlers.on_gone = [](CallerConnection*) {};
-  ready_handlers.on_drained = [](CallerConnection*) {};
-  Expected<std::unique_ptr<CallerListener>> ready = CallerListener::Create(
-      settings_.ready_listen, loop_, [] { return CallerLimits(); },
-      ready_handlers);
+  Expected<std::unique_ptr<CallerListener>> ready =
+      MakeReadyListener(settings_.ready_listen);
   if (!ready) {
     return tl::unexpected<Error>(ready.error());
   }
   ready_ = *std::move(ready);
+  if (settings_.metrics_listen.port != 0) {
+    Expected<std::unique_ptr<CallerListener>> metrics =
+        MakeReadyListener(settings_.metrics_listen);
+    if (metrics) {
+      metrics_listener_ = *std::move(metrics);
+    } else {
+      LogEvent("metrics_unavailable", LogLevel::kWarning)
+          .Add("address", ToString(settings_.metrics_listen))
+          .Add("message", metrics.error().message);
+    }
+  }
   const std::function<void()> housekeeping = [this] { pool_.CloseIdle(); };
   struct Repeat {
     static void Run(EventLoop* loop,
@@ -109,8 +116,24 @@
   return {};
 }
 
+Expected<std::unique_ptr<CallerListener>> Gateway::MakeReadyListener(
+    const NetworkAddress& address) {
+  CallerHandlers handlers;
+  handlers.on_request =
+      [this](CallerConnection* caller, const HttpRequestHead& head,
+             const std::string&) { OnReadyRequest(caller, head.target); };
+  handlers.on_bad_request = [](CallerConnection* caller, ErrorKind kind) {
+    caller->SendWhole(GetErrorTraits(kind).http_status, HttpHeaders(), "");
+  };
+  handlers.on_gone = [](CallerConnection*) {};
+  handlers.on_drained = [](CallerConnection*) {};
+  return CallerListener::Create(
+      address, loop_, [] { return CallerLimits(); }, kReadyCallers, handlers);
+}
+
 void Gateway::SetTable(const Ref<SharedRoutingTable>& table) {
   index_ = MakeRef<RouteIndex>(table);
+  index_since_ = loop_->now();
   LogEvent("routing_in_force")
       .Add("version", table->table.version)
       .Add("routes", table->table.routes.size())
@@ -141,16 +164,49 @@
   if (target == kMetricsPath) {
     HttpHeaders headers;
     headers.Add("Content-Type", "text/plain; version=0.0.4");
-    caller->SendWhole(200, headers, metrics_->Render());
+    caller->SendWhole(200, headers, RenderMetrics());
     return;
   }
   caller->SendWhole(IsReady() ? 200 : 503, HttpHeaders(), "");
 }
 
+std::string Gateway::RenderMetrics() {
+  const MonoTime now = loop_->now();
+  GatewayState state;
+  if (index_) {
+    state.table_version = index_->table().version;
+    state.table_age = now - index_since_;
+    for (const ServiceProfile& service : index_->table().services) {
+      state.services.push_back(
+          {service.name, &fleet_.ServersOf(service.name),
+           RetriesOf(service.name).Left(gateway_count_, now)});
+    }
+  }
+  state.lease_left = lease_valid_until_ - now;
+  state.requests = exchanges_.size();
+  state.callers = callers_->open_connections();
+  state.held_bytes = callers_->held_bytes();
+  state.turned_away = callers_->turned_away();
+  gauges_.Update(state, now);
+  return metrics_->Render();
+}
+
+void Gateway::SetRetrySettings(const RetryAllowanceSettings& settings) {
+  settings_.retries = settings;
+  for (auto& [service, allowance] : retries_) {
+    allowance.SetSettings(settings);
+  }
+}
+
 void Gateway::OnBadRequest(CallerConnection* caller, ErrorKind kind) {
-  journal_.OnBadRequest(kind, loop_->now());
-  const ErrorReply reply = MakeErrorReply(
-      Error{kind, "the request is malformed or too large"}, "", dialect_);
+  journal_.OnBadRequest(kind);
+  const ErrorReply reply =
+      MakeErrorReply(Error{kind,
+                           kind == ErrorKind::kOverloaded
+                               ? "the gateway holds too many requests"
+                               : "the request is malformed or too large",
+                           kRetryWhenFull},
+                     "", dialect_);
   caller->SendWhole(reply.status, reply.headers, reply.body);
 }
 
@@ -302,6 +358,7 @@
       server.OnDispatch(choice.prefill, exchange->placement.is_quick, now);
   server.prefixes.Record(exchange->placement.prefixes, now);
   attempt.connection = pool_.Take(server.address);
+  journal_.OnAttemptStarted(*exchange, choice, now);
   const Route& route = *exchange->route;
   if (route.MayRunAgain() && route.objective_ms > 0) {
     const absl::Duration objective = absl::Milliseconds(route.objective_ms);
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "camphorsail/gateway/caller_listener.h"
 #include "camphorsail/gateway/demand_meter.h"
 #include "camphorsail/gateway/exchange.h"
+#include "camphorsail/gateway/gateway_gauges.h"
 #include "camphorsail/gateway/gateway_journal.h"
 #include "camphorsail/gateway/gateway_settings.h"
 #include "camphorsail/gateway/placement.h"
@@ -49,6 +50,8 @@
   void SetGatewayCount(int count) { gateway_count_ = count; }
   BackendFleet& fleet() { return fleet_; }
   RefusalOutbox& refusals() { return refusals_; }
+  /// Bounds retries by these from now on.
+  void SetRetrySettings(const RetryAllowanceSettings& settings);
   /// @return Work that arrives at this gateway.
   LaneDemand Demand() { return demand_.Rate(loop_->now()); }
   /// @param demand Work that arrives at all gateways.
@@ -75,6 +78,14 @@
   void OnBadRequest(CallerConnection* caller, ErrorKind kind);
   /// Answers whether the gateway is ready, and `/metrics`.
   void OnReadyRequest(CallerConnection* caller, const std::string& target);
+  /// @return The metrics as text, brought up to date.
+  std::string RenderMetrics();
+  Expected<std::unique_ptr<CallerListener>> MakeReadyListener(
+      const NetworkAddress& address);
+  /// Lowers the server's standing, and logs when it gets no more work.
+  void NoteFailure(BackendServer* server,
+                   std::string_view failure,
+                   bool unreachable);
   /// Finds route, account and deadline.
   /// @return Nothing, or the error to answer with.
   Expected<void> Admit(Exchange* exchange);
@@ -125,11 +136,12 @@
   RetryAllowance& RetriesOf(const ModelId& service);
   HttpHeaders ReplyHeaders(const HttpResponseHead& head) const;
 
-  const GatewaySettings settings_;
+  GatewaySettings settings_;
   const WireDialect dialect_;
   EventLoop* const loop_;
   Metrics* const metrics_;
   GatewayJournal journal_;
+  GatewayGauges gauges_;
   BackendPool pool_;
   BackendFleet fleet_;
   Placement placement_;
@@ -143,6 +155,7 @@
   absl::flat_hash_map<std::string, double> typical_ratio_;
   Random random_;
   Ref<RouteIndex> index_;
+  MonoTime index_since_;
   MonoTime lease_valid_until_;
   int gateway_count_ = 1;
   bool draining_ = false;
@@ -151,6 +164,8 @@
   absl::flat_hash_map<CallerConnection*, std::unique_ptr<Exchange>> exchanges_;
   std::unique_ptr<CallerListener> callers_;
   std::unique_ptr<CallerListener> ready_;
+  /// Null without an address of its own for metrics.
+  std::unique_ptr<CallerListener> metrics_listener_;
   EventLoop::TimerId housekeeping_;
 };
 
--- a/camphorsail/gateway/gateway_answer.cc
+++ b/camphorsail/gateway/gateway_answer.cc
@@ -5,6 +5,7 @@
 #include "camphorsail/gateway/error_reply.h"
 #include "camphorsail/gateway/gateway.h"
 #include "camphorsail/gateway/http_parse.h"
+#include "camphorsail/process/log_event.h"
 
 // How the gateway passes on answers, and what it does about attempts that fail.
 namespace camphorsail {
@@ -72,6 +73,9 @@
   }
   const MonoTime now = loop_->now();
   attempt.first = now - attempt.started_at;
+  if (exchange->wait == absl::ZeroDuration()) {
+    exchange->wait = now - exchange->arrived_at;
+  }
   attempt.server->OnPromptDone(attempt.prefill, now);
   attempt.server->OnFirstAnswer(attempt.number, now);
   attempt.server->health.OnSuccess(now);
@@ -99,6 +103,12 @@
     exchange->caller->SendHead(attempt.head->status,
                                ReplyHeaders(*attempt.head));
   }
+  const MonoTime now = loop_->now();
+  if (exchange->events_sent > 0) {
+    exchange->longest_pause =
+        std::max(exchange->longest_pause, now - exchange->events_at);
+  }
+  exchange->events_at = now;
   exchange->events_sent += attempt.events.count() - before;
   if (attempt.events.last_id().has_value()) {
     exchange->last_event = attempt.events.last_id();
@@ -167,7 +177,8 @@
   if (status < 500) {
     NoteFirstAnswer(exchange);
   } else {
-    attempt.server->health.OnFailure(loop_->now());
+    NoteFailure(attempt.server.get(), absl::StrCat("status_", status),
+                /*unreachable=*/false);
   }
   const bool is_short_stream =
       exchange->route->kind == RouteKind::kStream && status == kStreamStatus;
@@ -184,12 +195,30 @@
 void Gateway::OnFailure(Exchange* exchange, BackendFailure failure, bool sent) {
   exchange->attempt->connection = nullptr;
   if (!sent) {
-    exchange->attempt->server->health.OnUnreachable(loop_->now());
+    NoteFailure(exchange->attempt->server.get(), ToString(failure),
+                /*unreachable=*/true);
   }
   Recover(exchange, ToString(failure), /*may_have_run=*/sent,
           /*timed_out=*/false);
 }
 
+void Gateway::NoteFailure(BackendServer* server,
+                          std::string_view failure,
+                          bool unreachable) {
+  const MonoTime now = loop_->now();
+  const bool was_open = server->health.IsOpen(now);
+  if (unreachable) {
+    server->health.OnUnreachable(now);
+  } else {
+    server->health.OnFailure(now);
+  }
+  if (was_open && !server->health.IsOpen(now)) {
+    LogEvent("server_suspended", LogLevel::kWarning)
+        .Add("server", server->id)
+        .Add("failure", failure);
+  }
+}
+
 void Gateway::OnSilence(Exchange* exchange) {
   // Where no other attempt would follow, the present one goes on.
   if (!MayTryAgain(*exchange, exchange->runs + 1)) {
@@ -216,7 +245,7 @@
   const bool rejected = attempt.reply.not_run;
   if (may_have_run) {
     ++exchange->runs;
-    attempt.server->health.OnFailure(now);
+    NoteFailure(attempt.server.get(), failure, /*unreachable=*/false);
   }
   if (may_have_run || rejected) {
     ++exchange->sent_attempts;
--- /dev/null
+++ b/camphorsail/gateway/gateway_gauges.cc
@@ -0,0 +1,84 @@
+#include "camphorsail/gateway/gateway_gauges.h"
+
+#include <string>
+#include <utility>
+
+namespace camphorsail {
+
+GatewayGauges::GatewayGauges(Metrics* metrics)
+    : metrics_(metrics), process_(metrics) {
+  const auto declare = [this](const char* name, const char* help,
+                              std::vector<std::string> labels) {
+    return metrics_->Declare(
+        {name, MetricKind::kGauge, help, std::move(labels)});
+  };
+  table_version_ = declare("camphorsail_gateway_table_version",
+                           "Version of the routing table in force.", {});
+  table_age_ = declare("camphorsail_gateway_table_age_seconds",
+                       "Time since the routing table came into force.", {});
+  lease_ = declare("camphorsail_gateway_lease_left_seconds",
+                   "Time until the gateway refuses requests unless a replica "
+                   "confirms its table.",
+                   {});
+  requests_ = declare("camphorsail_gateway_requests_in_progress",
+                      "Requests that are not answered yet.", {});
+  callers_ = declare("camphorsail_gateway_caller_connections",
+                     "Open connections of callers.", {});
+  held_bytes_ = declare("camphorsail_gateway_request_bytes",
+                        "Headers and bodies of requests that are held.", {});
+  turned_away_ = declare("camphorsail_gateway_callers_turned_away",
+                         "Connections of callers that were closed at once for "
+                         "lack of room.",
+                         {});
+  servers_ = declare("camphorsail_gateway_servers",
+                     "Servers that may get requests.", {"service"});
+  suspended_ = declare("camphorsail_gateway_servers_suspended",
+                       "Servers that get no requests but probes, because "
+                       "attempts failed.",
+                       {"service"});
+  own_requests_ =
+      declare("camphorsail_gateway_server_requests",
+              "This gateway's requests at the servers.", {"service"});
+  known_requests_ = declare("camphorsail_gateway_server_requests_known",
+                            "All gateways' requests at the servers, as far as "
+                            "known.",
+                            {"service"});
+  slots_ =
+      declare("camphorsail_gateway_server_slots",
+              "Requests that the servers run at the same time.", {"service"});
+  retries_ = declare("camphorsail_gateway_retries_left",
+                     "Retries that this gateway may send now.", {"service"});
+}
+
+void GatewayGauges::Update(const GatewayState& state, MonoTime now) {
+  process_.Update();
+  metrics_->Set(table_version_, {}, static_cast<double>(state.table_version));
+  metrics_->Set(table_age_, {}, absl::ToDoubleSeconds(state.table_age));
+  metrics_->Set(lease_, {}, absl::ToDoubleSeconds(state.lease_left));
+  metrics_->Set(requests_, {}, static_cast<double>(state.requests));
+  metrics_->Set(callers_, {}, static_cast<double>(state.callers));
+  metrics_->Set(held_bytes_, {}, static_cast<double>(state.held_bytes));
+  metrics_->Set(turned_away_, {}, static_cast<double>(state.turned_away));
+  for (const ServiceGauges& service : state.services) {
+    int suspended = 0;
+    int own = 0;
+    int slots = 0;
+    double known = 0;
+    for (const Ref<BackendServer>& server : *service.servers) {
+      suspended += server->health.IsOpen(now) ? 0 : 1;
+      own += server->in_flight();
+      slots += server->slots;
+      known += server->Load(now);
+    }
+    const std::string& name = service.service.value();
+    metrics_->Set(servers_, {name},
+                  static_cast<double>(service.servers->size()));
+    metrics_->Set(suspended_, {name}, suspended);
+    metrics_->Set(own_requests_, {name}, own);
+    metrics_->Set(known_requests_, {name}, known);
+    metrics_->Set(slots_, {name}, slots);
+    metrics_->Set(retries_, {name}, service.retries_left);
+  }
+}
+
+}  // namespace camphorsail
--- a/camphorsail/gateway/gateway_journal.cc
+++ b/camphorsail/gateway/gateway_journal.cc
@@ -1,7 +1,5 @@
 #include "camphorsail/gateway/gateway_journal.h"
 
-#include <utility>
-
 #include "absl/strings/str_cat.h"
 #include "camphorsail/process/log_event.h"
 
@@ -31,6 +29,17 @@
   }
 }
 
+/// Adds what the caller has got so far, beside what its route aims at.
+void DescribeAnswer(const Exchange& exchange, LogEvent* event) {
+  event->Add("wait_ms", absl::ToInt64Milliseconds(exchange.wait))
+      .Add("events", exchange.events_sent)
+      .Add("pause_ms", absl::ToInt64Milliseconds(exchange.longest_pause));
+  if (exchange.route != nullptr) {
+    event->Add("objective_ms", exchange.route->objective_ms)
+        .Add("pause_limit_ms", exchange.route->event_gap_ms);
+  }
+}
+
 }  // namespace
 
 GatewayJournal::GatewayJournal(Metrics* metrics) : metrics_(metrics) {
@@ -42,47 +51,42 @@
                                  MetricKind::kCounter,
                                  "Attempts on backend servers that failed.",
                                  {"failure", "next"}});
+  first_answer_time_ =
+      metrics_->Declare({"camphorsail_gateway_first_answer_seconds",
+                         MetricKind::kLatency,
+                         "Time from arrival to the first event or to the "
+                         "whole answer.",
+                         {"route"}});
   answer_time_ = metrics_->Declare({"camphorsail_gateway_answer_seconds",
                                     MetricKind::kLatency,
                                     "Time from arrival to the end of the "
                                     "answer.",
                                     {"route"}});
-  dropped_ = metrics_->Declare({"camphorsail_gateway_dropped_log_lines_total",
-                                MetricKind::kCounter,
-                                "Log lines dropped to bound their volume.",
-                                {}});
 }
 
-bool GatewayJournal::LineBudget::Take(MonoTime now) {
-  if (now - second >= absl::Seconds(1)) {
-    second = now;
-    used = 0;
-    if (dropped > 0) {
-      LogEvent("log_lines_dropped", LogLevel::kWarning)
-          .Add("lines", std::exchange(dropped, 0));
-    }
-  }
-  if (used >= kLinesPerSecond) {
-    ++dropped;
-    return false;
-  }
-  ++used;
-  return true;
+void GatewayJournal::OnAttemptStarted(const Exchange& exchange,
+                                      const PlacementChoice& choice,
+                                      MonoTime now) {
+  LogEvent event("attempt_started");
+  Describe(exchange, now, &event);
+  event.Add("candidates", choice.candidates)
+      .Add("cost_ms", absl::ToInt64Milliseconds(choice.cost))
+      .Add("next_cost_ms", choice.candidates > 1
+                               ? absl::ToInt64Milliseconds(choice.next_cost)
+                               : -1);
 }
 
 void GatewayJournal::OnAnswered(const Exchange& exchange,
                                 int status,
                                 MonoTime now) {
   metrics_->Increment(requests_, {exchange.route->name, absl::StrCat(status)});
+  metrics_->Observe(first_answer_time_, {exchange.route->name}, exchange.wait);
   metrics_->Observe(answer_time_, {exchange.route->name},
                     now - exchange.arrived_at);
-  if (!answers_.Take(now)) {
-    metrics_->Increment(dropped_, {});
-    return;
-  }
   LogEvent event("request_answered");
   Describe(exchange, now, &event);
-  event.Add("status", status).Add("events", exchange.events_sent);
+  DescribeAnswer(exchange, &event);
+  event.Add("status", status);
 }
 
 void GatewayJournal::OnRefused(const Exchange& exchange,
@@ -92,24 +96,17 @@
   const std::string_view code = GetErrorTraits(kind).code;
   metrics_->Increment(
       requests_, {exchange.route == nullptr ? "" : exchange.route->name, code});
-  if (!failures_.Take(now)) {
-    metrics_->Increment(dropped_, {});
-    return;
-  }
   LogEvent event("request_refused", LogLevel::kWarning);
   Describe(exchange, now, &event);
+  DescribeAnswer(exchange, &event);
   event.Add("code", code).Add("reason", reason);
 }
 
 void GatewayJournal::OnCallerLeft(const Exchange& exchange, MonoTime now) {
   metrics_->Increment(requests_, {exchange.route->name, "caller_left"});
-  if (!failures_.Take(now)) {
-    metrics_->Increment(dropped_, {});
-    return;
-  }
   LogEvent event("caller_left");
   Describe(exchange, now, &event);
-  event.Add("events", exchange.events_sent);
+  DescribeAnswer(exchange, &event);
 }
 
 void GatewayJournal::OnAttemptFailed(const Exchange& exchange,
@@ -117,23 +114,15 @@
                                      std::string_view next,
                                      MonoTime now) {
   metrics_->Increment(attempts_, {failure, next});
-  if (!failures_.Take(now)) {
-    metrics_->Increment(dropped_, {});
-    return;
-  }
   LogEvent event("attempt_failed", LogLevel::kWarning);
   Describe(exchange, now, &event);
   event.Add("failure", failure).Add("next", next);
 }
 
-void GatewayJournal::OnBadRequest(ErrorKind kind, MonoTime now) {
+void GatewayJournal::OnBadRequest(ErrorKind kind) {
   const std::string_view code = GetErrorTraits(kind).code;
   metrics_->Increment(requests_, {"", code});
-  if (failures_.Take(now)) {
-    LogEvent("bad_request", LogLevel::kWarning).Add("code", code);
-  } else {
-    metrics_->Increment(dropped_, {});
-  }
+  LogEvent("bad_request", LogLevel::kWarning).Add("code", code);
 }
 
 }  // namespace camphorsail
--- a/camphorsail/gateway/gateway_journal.h
+++ b/camphorsail/gateway/gateway_journal.h
@@ -7,18 +7,22 @@
 #include "camphorsail/base/error_kind.h"
 #include "camphorsail/base/mono_time.h"
 #include "camphorsail/gateway/exchange.h"
+#include "camphorsail/gateway/placement.h"
 #include "camphorsail/process/metrics.h"
 
 namespace camphorsail {
 
-/// Writes what a gateway decides to the log and the metrics. Log lines are
-/// bounded per second, failures apart from answers; dropped lines are counted.
+/// Writes what a gateway decides about requests to the log and the metrics.
 /// Belongs to the loop's thread.
 class GatewayJournal {
  public:
   /// @param metrics Outlives the journal; families are declared here.
   explicit GatewayJournal(Metrics* metrics);
 
+  /// A server was chosen and is sent the request.
+  void OnAttemptStarted(const Exchange& exchange,
+                        const PlacementChoice& choice,
+                        MonoTime now);
   /// The request was answered by a server.
   void OnAnswered(const Exchange& exchange, int status, MonoTime now);
   /// The gateway answered with an error, or cut the answer.
@@ -33,26 +37,14 @@
                        std::string_view next,
                        MonoTime now);
   /// A request that did not become an exchange.
-  void OnBadRequest(ErrorKind kind, MonoTime now);
+  void OnBadRequest(ErrorKind kind);
 
  private:
-  /// Lines of one kind that may be written in each second.
-  struct LineBudget {
-    /// About a twentieth of the processor time of a small VM.
-    static constexpr int kLinesPerSecond = 150;
-    bool Take(MonoTime now);
-    MonoTime second;
-    int used = 0;
-    uint64_t dropped = 0;
-  };
-
   Metrics* const metrics_;
   MetricId requests_;
   MetricId attempts_;
+  MetricId first_answer_time_;
   MetricId answer_time_;
-  MetricId dropped_;
-  LineBudget answers_;
-  LineBudget failures_;
 };
 
 }  // namespace camphorsail
--- a/camphorsail/gateway/gateway_settings.h
+++ b/camphorsail/gateway/gateway_settings.h
@@ -5,6 +5,7 @@
 
 #include "camphorsail/base/network_address.h"
 #include "camphorsail/gateway/backend_pool.h"
+#include "camphorsail/gateway/caller_budget.h"
 #include "camphorsail/gateway/placement_settings.h"
 #include "camphorsail/gateway/retry_allowance.h"
 
@@ -14,6 +15,9 @@
 struct GatewaySettings {
   NetworkAddress listen;
   NetworkAddress ready_listen;
+  /// A further address of `/metrics`; port 0 for none.
+  NetworkAddress metrics_listen;
+  CallerBudgetSettings callers;
   BackendPoolSettings pool;
   PlacementSettings placement;
   RetryAllowanceSettings retries;
--- a/camphorsail/gateway/placement.cc
+++ b/camphorsail/gateway/placement.cc
@@ -94,22 +94,15 @@
 
 Placement::Lane Placement::LaneOf(const BackendFleet::Servers& servers,
                                   const PlacementRequest& request) const {
-  // Every gateway orders the engines alike, so that they agree on the lanes.
+  // Every gateway has the engines in the same order, so that they agree on the
+  // lanes.
+  const size_t bulk = BulkEngines(servers.size());
+  const size_t begin = request.is_quick ? bulk : 0;
+  const size_t end = request.is_quick || bulk == 0 ? servers.size() : bulk;
   std::vector<const BackendServer*> ordered;
-  ordered.reserve(servers.size());
-  for (const auto& server : servers) {
-    ordered.push_back(server.get());
-  }
-  std::sort(ordered.begin(), ordered.end(),
-            [](const BackendServer* a, const BackendServer* b) {
-              return a->hash < b->hash;
-            });
-  const auto border =
-      ordered.begin() + static_cast<ptrdiff_t>(BulkEngines(ordered.size()));
-  if (request.is_quick) {
-    ordered.erase(ordered.begin(), border);
-  } else if (border != ordered.begin()) {
-    ordered.erase(border, ordered.end());
+  ordered.reserve(end - begin);
+  for (size_t i = begin; i < end; ++i) {
+    ordered.push_back(servers[i].get());
   }
   const uint64_t prefix = request.prefixes.prefixes.empty()
                               ? 0
@@ -185,6 +178,7 @@
   for (const bool open_only : {true, false}) {
     PlacementChoice best;
     double best_cost = std::numeric_limits<double>::infinity();
+    double next_cost = best_cost;
     int equal = 0;
     for (const auto& server : servers) {
       const bool tried = std::find(request.tried.begin(), request.tried.end(),
@@ -200,6 +194,8 @@
       if (server->failure_domain != settings_.failure_domain) {
         estimate.cost_ms += settings_.other_domain_ms;
       }
+      ++best.candidates;
+      next_cost = std::min(next_cost, std::max(best_cost, estimate.cost_ms));
       if (estimate.cost_ms < best_cost - kEqualMs) {
         equal = 0;
       } else if (estimate.cost_ms > best_cost + kEqualMs ||
@@ -214,6 +210,8 @@
       best.place = place == lane.places.end() ? -1 : place->second;
     }
     if (best.server) {
+      best.cost = absl::Milliseconds(best_cost);
+      best.next_cost = absl::Milliseconds(next_cost);
       return best;
     }
   }
--- a/camphorsail/gateway/placement.h
+++ b/camphorsail/gateway/placement.h
@@ -39,6 +39,11 @@
   /// Place of the server in the order of the prompt's prefix, 0 for its home;
   /// -1 for an engine that the request does not prefer, and for calls.
   int place = -1;
+  /// Servers among which the choice was made, its estimated cost, and that of
+  /// the second best.
+  int candidates = 0;
+  absl::Duration cost;
+  absl::Duration next_cost;
 };
 
 /// Chooses the server with the least expected time to the first token or the
--- a/camphorsail/gateway/retry_allowance.cc
+++ b/camphorsail/gateway/retry_allowance.cc
@@ -10,17 +10,21 @@
 }
 
 bool RetryAllowance::TryRetry(int gateways, MonoTime now) {
-  Expire(now);
-  const double allowed =
-      settings_.use * (settings_.ratio * static_cast<double>(requests_.size()) +
-                       settings_.slack / std::max(1, gateways));
-  if (static_cast<double>(retries_.size()) + 1 > allowed) {
+  if (Left(gateways, now) < 1) {
     return false;
   }
   retries_.push_back(now);
   return true;
 }
 
+double RetryAllowance::Left(int gateways, MonoTime now) {
+  Expire(now);
+  const double allowed =
+      settings_.use * (settings_.ratio * static_cast<double>(requests_.size()) +
+                       settings_.slack / std::max(1, gateways));
+  return std::max(0.0, allowed - static_cast<double>(retries_.size()));
+}
+
 void RetryAllowance::Expire(MonoTime now) {
   const MonoTime oldest = now - settings_.window;
   while (!requests_.empty() && requests_.front() < oldest) {
--- a/camphorsail/gateway/retry_allowance.h
+++ b/camphorsail/gateway/retry_allowance.h
@@ -28,16 +28,22 @@
   explicit RetryAllowance(const RetryAllowanceSettings& settings)
       : settings_(settings) {}
 
+  void SetSettings(const RetryAllowanceSettings& settings) {
+    settings_ = settings;
+  }
+
   /// Counts a request's first attempt.
   void OnRequest(MonoTime now);
   /// @param gateways Gateways that share the slack, this one included.
   /// @return True, and counts the retry, when one more is allowed.
   bool TryRetry(int gateways, MonoTime now);
+  /// @return Retries that are allowed now.
+  double Left(int gateways, MonoTime now);
 
  private:
   void Expire(MonoTime now);
 
-  const RetryAllowanceSettings settings_;
+  RetryAllowanceSettings settings_;
   std::deque<MonoTime> requests_;
   std::deque<MonoTime> retries_;
 };
--- a/camphorsail/gateway/table_lease.h
+++ b/camphorsail/gateway/table_lease.h
@@ -24,6 +24,9 @@
   TableLease(absl::Duration length, uint64_t first_token)
       : length_(length), last_token_(first_token) {}
 
+  /// @param length Of confirmations from now on.
+  void SetLength(absl::Duration length) { length_ = length; }
+
   /// @return The token of a poll that is sent now.
   uint64_t OnPoll(MonoTime now) {
     polls_.emplace_back(++last_token_, now);
@@ -49,7 +52,7 @@
   bool IsValid(MonoTime now) const { return now < valid_until_; }
 
  private:
-  const absl::Duration length_;
+  absl::Duration length_;
   uint64_t last_token_;
   /// Polls that may still extend the lease, with their sending times.
   std::deque<std::pair<uint64_t, MonoTime>> polls_;
--- a/camphorsail/peer/peer_transport_core.cc
+++ b/camphorsail/peer/peer_transport_core.cc
@@ -395,7 +395,8 @@
     if (reason.empty()) {
       reason = outbound.socket().close_reason();
     }
-    LogEvent(was_ready ? "peer_disconnected" : "peer_unreachable",
+    LogEvent(was_ready ? LogEventName("peer_disconnected")
+                       : LogEventName("peer_unreachable"),
              LogLevel::kWarning)
         .Add("peer", peer.vm)
         .Add("reason", reason.empty() ? "timeout or peer removed" : reason);
--- a/camphorsail/process/log_event.cc
+++ b/camphorsail/process/log_event.cc
@@ -1,5 +1,7 @@
 #include "camphorsail/process/log_event.h"
 
+#include <optional>
+
 #include "absl/strings/str_format.h"
 #include "camphorsail/base/wall_clock.h"
 #include "camphorsail/process/logger.h"
@@ -45,17 +47,24 @@
   return quoted;
 }
 
-LogEvent::LogEvent(std::string_view name, LogLevel level)
-    : level_(level), logged_(IsLogged(level)) {
-  if (!logged_) {
+LogEvent::LogEvent(LogEventName name, LogLevel level) : level_(level) {
+  if (!IsLogged(level)) {
+    return;
+  }
+  const absl::Time now = WallNow();
+  if (!AdmitLogLine(name, level, now)) {
     return;
   }
+  logged_ = true;
   line_ = "time=";
-  line_ +=
-      absl::FormatTime("%Y-%m-%dT%H:%M:%E6SZ", WallNow(), absl::UTCTimeZone());
+  line_ += absl::FormatTime("%Y-%m-%dT%H:%M:%E6SZ", now, absl::UTCTimeZone());
   line_ += " level=";
   line_ += ToString(level);
-  Add("vm", LoggerVm()).Add("event", name);
+  Add("vm", LoggerVm());
+  if (const std::optional<HybridTimestamp> clock = LogClockNow()) {
+    Add("clock", absl::StrCat(clock->wall_micros, ".", clock->counter));
+  }
+  Add("event", name.text());
 }
 
 LogEvent::~LogEvent() {
@@ -64,10 +73,10 @@
   }
 }
 
-LogEvent& LogEvent::Add(std::string_view key, std::string_view value) {
+LogEvent& LogEvent::Add(LogFieldName key, std::string_view value) {
   if (logged_) {
     line_ += ' ';
-    line_ += key;
+    line_ += key.text();
     line_ += '=';
     line_ += QuoteLogValue(value);
   }
--- a/camphorsail/process/log_event.h
+++ b/camphorsail/process/log_event.h
@@ -9,6 +9,7 @@
 #include "absl/time/time.h"
 #include "camphorsail/base/strong_id.h"
 #include "camphorsail/process/log_level.h"
+#include "camphorsail/process/log_name.h"
 
 namespace camphorsail {
 
@@ -16,49 +17,50 @@
 ///
 ///     LogEvent("request_refused").Add("request", id).Add("reason", reason);
 ///
-/// The line starts with `time` (UTC, microseconds), `level`, `vm` and `event`.
-/// A value that is empty or contains a space, a quote, `=`, a backslash or a
-/// byte outside printable ASCII is put in double quotes with C escapes, so a
-/// value from a caller can add neither a field nor a line. Used by one thread.
+/// The line starts with `time` (UTC, microseconds), `level`, `vm`, `clock`
+/// where the process has a hybrid clock, and `event`. Events and fields are
+/// those of log_schema.h; of some events only so many lines a second are
+/// written. A value that is empty or contains a space, a quote, `=`, a
+/// backslash or a byte outside printable ASCII is put in double quotes with C
+/// escapes, so a value from a caller can add neither a field nor a line. Used
+/// by one thread.
 class LogEvent {
  public:
-  /// @param name What happened, in snake_case.
-  explicit LogEvent(std::string_view name, LogLevel level = LogLevel::kInfo);
+  /// @param name What happened.
+  explicit LogEvent(LogEventName name, LogLevel level = LogLevel::kInfo);
   ~LogEvent();
   LogEvent(const LogEvent&) = delete;
   LogEvent& operator=(const LogEvent&) = delete;
 
-  /// @param key The field's name, in snake_case, with its unit where it has
-  /// one, such as `wait_ms`.
-  LogEvent& Add(std::string_view key, std::string_view value);
-  LogEvent& Add(std::string_view key, const char* value) {
+  LogEvent& Add(LogFieldName key, std::string_view value);
+  LogEvent& Add(LogFieldName key, const char* value) {
     return Add(key, std::string_view(value));
   }
-  LogEvent& Add(std::string_view key, const std::string& value) {
+  LogEvent& Add(LogFieldName key, const std::string& value) {
     return Add(key, std::string_view(value));
   }
-  LogEvent& Add(std::string_view key, bool value) {
+  LogEvent& Add(LogFieldName key, bool value) {
     return Add(key, value ? "true" : "false");
   }
   template <typename T>
   requires std::integral<T> || std::floating_point<T> LogEvent& Add(
-      std::string_view key,
+      LogFieldName key,
       T value) {
     const std::string text = absl::StrCat(value);
     return Add(key, std::string_view(text));
   }
   /// Written in milliseconds; name the key accordingly.
-  LogEvent& Add(std::string_view key, absl::Duration value) {
+  LogEvent& Add(LogFieldName key, absl::Duration value) {
     return Add(key, absl::ToDoubleMilliseconds(value));
   }
   template <typename Tag, typename Rep>
-  LogEvent& Add(std::string_view key, const StrongId<Tag, Rep>& value) {
+  LogEvent& Add(LogFieldName key, const StrongId<Tag, Rep>& value) {
     return Add(key, value.value());
   }
 
  private:
   const LogLevel level_;
-  const bool logged_;
+  bool logged_ = false;
   std::string line_;
 };
 
--- /dev/null
+++ b/camphorsail/process/log_line_budget.h
@@ -0,0 +1,54 @@
+#ifndef CAMPHORSAIL_PROCESS_LOG_LINE_BUDGET_H_
+#define CAMPHORSAIL_PROCESS_LOG_LINE_BUDGET_H_
+
+#include <cstdint>
+#include <utility>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+
+namespace camphorsail {
+
+/// Bounds the lines of one event in each second and counts those left out.
+/// Thread-safe.
+class LogLineBudget {
+ public:
+  /// @param now The wall clock; a second begins anew when it is set back.
+  /// @return True when the line may be written.
+  bool Take(absl::Time now, int lines_per_second) {
+    absl::MutexLock lock(&mutex_);
+    if (now < second_ || now >= second_ + absl::Seconds(1)) {
+      second_ = now;
+      used_ = 0;
+    }
+    if (used_ >= lines_per_second) {
+      ++dropped_;
+      return false;
+    }
+    ++used_;
+    return true;
+  }
+
+  /// @return Lines left out since the last call, once their second is over.
+  uint64_t TakeDropped(absl::Time now) {
+    absl::MutexLock lock(&mutex_);
+    const bool over = now < second_ || now >= second_ + absl::Seconds(1);
+    return over ? std::exchange(dropped_, 0) : 0;
+  }
+  /// @return True when `TakeDropped` will have lines to give.
+  bool HasDropped() {
+    absl::MutexLock lock(&mutex_);
+    return dropped_ > 0;
+  }
+
+ private:
+  absl::Mutex mutex_;
+  absl::Time second_ ABSL_GUARDED_BY(mutex_);
+  int used_ ABSL_GUARDED_BY(mutex_) = 0;
+  uint64_t dropped_ ABSL_GUARDED_BY(mutex_) = 0;
+};
+
+}  // namespace camphorsail
+
+#endif  // CAMPHORSAIL_PROCESS_LOG_LINE_BUDGET_H_
--- a/camphorsail/process/logger.cc
+++ b/camphorsail/process/logger.cc
@@ -1,11 +1,15 @@
 #include "camphorsail/process/logger.h"
 
+#include <array>
 #include <atomic>
 #include <memory>
 #include <string>
 #include <utility>
 
 #include "absl/synchronization/mutex.h"
+#include "camphorsail/base/wall_clock.h"
+#include "camphorsail/process/log_event.h"
+#include "camphorsail/process/log_line_budget.h"
 #include "easylogging++.h"
 
 INITIALIZE_EASYLOGGINGPP
@@ -17,8 +21,13 @@
 /// until the process ends.
 struct LoggerState {
   std::atomic<LogLevel> level{LogLevel::kInfo};
+  std::atomic<int> lines_per_second{kDefaultLogLinesPerSecond};
+  std::atomic<uint64_t> dropped{0};
+  /// One for each event of the list.
+  std::array<LogLineBudget, kLogEvents.size()> budgets;
   absl::Mutex mutex;
   VmId vm ABSL_GUARDED_BY(mutex);
+  std::function<HybridTimestamp()> clock ABSL_GUARDED_BY(mutex);
   std::shared_ptr<const LogSink> sink ABSL_GUARDED_BY(mutex);
 };
 
@@ -37,6 +46,16 @@
   return *state;
 }
 
+void ReportDropped(size_t event, absl::Time now) {
+  const uint64_t lines = State().budgets[event].TakeDropped(now);
+  if (lines > 0) {
+    LogEvent("log_lines_dropped", LogLevel::kWarning)
+        .Add("event_name", kLogEvents[event].name)
+        .Add("lines", lines)
+        .Add("reason", "more than log-lines-per-second");
+  }
+}
+
 }  // namespace
 
 void ConfigureLogger(LogLevel level, const VmId& vm) {
@@ -46,6 +65,16 @@
   state.vm = vm;
 }
 
+void SetLogLinesPerSecond(int lines) {
+  State().lines_per_second.store(lines, std::memory_order_relaxed);
+}
+
+void SetLogClock(std::function<HybridTimestamp()> clock) {
+  LoggerState& state = State();
+  absl::MutexLock lock(&state.mutex);
+  state.clock = std::move(clock);
+}
+
 void SetLogSink(LogSink sink) {
   auto shared =
       sink ? std::make_shared<const LogSink>(std::move(sink)) : nullptr;
@@ -58,6 +87,39 @@
   return level >= State().level.load(std::memory_order_relaxed);
 }
 
+bool AdmitLogLine(LogEventName event, LogLevel level, absl::Time now) {
+  if (event.spec().volume == LogVolume::kEveryLine ||
+      level == LogLevel::kError) {
+    return true;
+  }
+  LoggerState& state = State();
+  ReportDropped(event.index(), now);
+  if (state.budgets[event.index()].Take(
+          now, state.lines_per_second.load(std::memory_order_relaxed))) {
+    return true;
+  }
+  CountDroppedLogLines(1);
+  return false;
+}
+
+bool ReportDroppedLogLines() {
+  const absl::Time now = WallNow();
+  bool remain = false;
+  for (size_t event = 0; event < kLogEvents.size(); ++event) {
+    ReportDropped(event, now);
+    remain = State().budgets[event].HasDropped() || remain;
+  }
+  return remain;
+}
+
+void CountDroppedLogLines(uint64_t lines) {
+  State().dropped.fetch_add(lines, std::memory_order_relaxed);
+}
+
+uint64_t DroppedLogLines() {
+  return State().dropped.load(std::memory_order_relaxed);
+}
+
 void WriteLogLine(LogLevel level, std::string_view line) {
   LoggerState& state = State();
   std::shared_ptr<const LogSink> sink;
@@ -80,4 +142,11 @@
   return state.vm;
 }
 
+std::optional<HybridTimestamp> LogClockNow() {
+  LoggerState& state = State();
+  // The lock is held, so that the clock is not destroyed meanwhile.
+  absl::MutexLock lock(&state.mutex);
+  return state.clock ? std::optional(state.clock()) : std::nullopt;
+}
+
 }  // namespace camphorsail
--- a/camphorsail/process/option_spec.cc
+++ b/camphorsail/process/option_spec.cc
@@ -118,6 +118,12 @@
           }};
 }
 
+/// @return The setting as one that is read again at SIGHUP.
+OptionSpec Reloadable(OptionSpec spec) {
+  spec.reloadable = true;
+  return spec;
+}
+
 /// A listener that the daemon opens only when an address is given.
 OptionSpec OptionalListenOption(std::string name,
                                 std::string help,
@@ -254,26 +260,28 @@
           [](int64_t value, Options* options) {
             options->tolerated_losses = static_cast<int>(value);
           }),
-      IntegerOption("gateway-lease-ms", 4000, 500, 60000,
-                    "Milliseconds that a gateway goes on after a replica last "
-                    "confirmed its routing table.",
-                    [](int64_t value, Options* options) {
-                      options->gateway_lease = absl::Milliseconds(value);
-                    }),
-      {"retry-ratio", "0.1", "a number from 0 to 1",
-       "Retries of all gateways together, as a part of a service's requests.",
-       StoreRatio},
-      IntegerOption("retry-slack", 10, 0, 100000,
-                    "Retries to a service in one retry window besides that "
-                    "part.",
-                    [](int64_t value, Options* options) {
-                      options->retry_slack = static_cast<int>(value);
-                    }),
-      IntegerOption("retry-window-s", 10, 1, 600,
-                    "Seconds over which retries are counted.",
-                    [](int64_t value, Options* options) {
-                      options->retry_window = absl::Seconds(value);
-                    }),
+      Reloadable(IntegerOption(
+          "gateway-lease-ms", 4000, 500, 60000,
+          "Milliseconds that a gateway goes on after a replica last "
+          "confirmed its routing table.",
+          [](int64_t value, Options* options) {
+            options->gateway_lease = absl::Milliseconds(value);
+          })),
+      Reloadable({"retry-ratio", "0.1", "a number from 0 to 1",
+                  "Retries of all gateways together, as a part of a service's "
+                  "requests.",
+                  StoreRatio}),
+      Reloadable(IntegerOption("retry-slack", 10, 0, 100000,
+                               "Retries to a service in one retry window "
+                               "besides that part.",
+                               [](int64_t value, Options* options) {
+                                 options->retry_slack = static_cast<int>(value);
+                               })),
+      Reloadable(IntegerOption("retry-window-s", 10, 1, 600,
+                               "Seconds over which retries are counted.",
+                               [](int64_t value, Options* options) {
+                                 options->retry_window = absl::Seconds(value);
+                               })),
       IntegerOption("initial-voters", 0, 0, kMaxInitialVoters,
                     "Voters of the first membership; 0 means all daemons, at "
                     "most 7.",
@@ -290,8 +298,38 @@
                     [](int64_t value, Options* options) {
                       options->shards = static_cast<int>(value);
                     }),
-      {"log-level", "info", "debug, info, warning or error",
-       "Least severe level that is logged.", StoreLogLevel},
+      Reloadable({"log-level", "info", "debug, info, warning or error",
+                  "Least severe level that is logged.", StoreLogLevel}),
+      Reloadable(IntegerOption(
+          "log-lines-per-second", 150, 0, 1'000'000,
+          "Lines of each bounded event in a second; errors and state changes "
+          "are always written.",
+          [](int64_t value, Options* options) {
+            options->log_lines_per_second = static_cast<int>(value);
+          })),
+      IntegerOption("log-buffer-bytes", 1 << 20, 4 << 10, 64 << 20,
+                    "Log lines that wait for a slow reader; further ones are "
+                    "left out and counted.",
+                    [](int64_t value, Options* options) {
+                      options->log_buffer_bytes = static_cast<size_t>(value);
+                    }),
+      OptionalListenOption("metrics-listen",
+                           "A further address of /metrics; the daemon runs "
+                           "without when it cannot be used.",
+                           &Options::metrics_listen),
+      IntegerOption("memory-limit-mb", 0, 0, 1 << 20,
+                    "Memory that this process may use, in MiB; 0 for no limit. "
+                    "A gateway turns callers away before it uses half of it.",
+                    [](int64_t value, Options* options) {
+                      options->memory_limit_bytes = static_cast<size_t>(value)
+                                                    << 20;
+                    }),
+      IntegerOption("descriptor-limit", 0, 0, 1 << 20,
+                    "Descriptors that this process may use; 0 for no limit. A "
+                    "gateway turns callers away before it uses half of them.",
+                    [](int64_t value, Options* options) {
+                      options->descriptor_limit = static_cast<int>(value);
+                    }),
       IntegerOption("max-body-bytes", 4 << 20, 1 << 10, 64 << 20,
                     "Largest body of a request.",
                     [](int64_t value, Options* options) {
@@ -313,18 +351,19 @@
                     [](int64_t value, Options* options) {
                       options->body_timeout = absl::Milliseconds(value);
                     }),
-      IntegerOption("drain-timeout-s", 60, 1, 3600,
-                    "Seconds that requests in progress have to finish after "
-                    "SIGTERM.",
-                    [](int64_t value, Options* options) {
-                      options->drain_timeout = absl::Seconds(value);
-                    }),
-      IntegerOption("drain-delay-ms", 2000, 0, 60000,
-                    "Milliseconds between reporting not ready and refusing new "
-                    "requests, for the balancer to notice.",
-                    [](int64_t value, Options* options) {
-                      options->drain_delay = absl::Milliseconds(value);
-                    }),
+      Reloadable(IntegerOption("drain-timeout-s", 60, 1, 3600,
+                               "Seconds that requests in progress have to "
+                               "finish after SIGTERM.",
+                               [](int64_t value, Options* options) {
+                                 options->drain_timeout = absl::Seconds(value);
+                               })),
+      Reloadable(IntegerOption(
+          "drain-delay-ms", 2000, 0, 60000,
+          "Milliseconds between reporting not ready and refusing new "
+          "requests, for the balancer to notice.",
+          [](int64_t value, Options* options) {
+            options->drain_delay = absl::Milliseconds(value);
+          })),
       IntegerOption("tick-ms", 10, 1, 100,
                     "Period of timer events in milliseconds.",
                     [](int64_t value, Options* options) {
--- a/camphorsail/process/option_spec.h
+++ b/camphorsail/process/option_spec.h
@@ -20,6 +20,8 @@
   std::string help;
   /// Stores a value. @return False when it is not allowed.
   std::function<bool(const std::string& value, Options* options)> store;
+  /// True when a change takes effect at SIGHUP, false when it needs a restart.
+  bool reloadable = false;
 };
 
 /// @return The settings in the order of the help text.
--- a/camphorsail/process/options.cc
+++ b/camphorsail/process/options.cc
@@ -95,7 +95,7 @@
                     spec.default_value.empty()
                         ? std::string("No default.")
                         : absl::StrCat("Default: ", spec.default_value, "."),
-                    "\n");
+                    spec.reloadable ? " Read again at SIGHUP." : "", "\n");
   }
   absl::StrAppend(&text,
                   "  --node-file FILE  (CAMPHORSAIL_NODE_FILE)\n"
@@ -246,6 +246,7 @@
           spec.name, ": ", QuoteLogValue(chosen.value), " from ", chosen.source,
           " is not allowed; allowed: ", spec.allowed));
     }
+    options.texts[spec.name] = chosen.value;
     absl::StrAppendFormat(&listing, "%-21s %-32s %s\n", spec.name,
                           QuoteLogValue(chosen.value), chosen.source);
   }
--- a/camphorsail/process/options.h
+++ b/camphorsail/process/options.h
@@ -2,6 +2,7 @@
 #define CAMPHORSAIL_PROCESS_OPTIONS_H_
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -76,6 +77,15 @@
   /// Threads that serve callers.
   int shards = 0;
   LogLevel log_level = LogLevel::kInfo;
+  /// Lines of each bounded event in a second.
+  int log_lines_per_second = 0;
+  /// Lines that wait for the reader of the log.
+  size_t log_buffer_bytes = 0;
+  /// A further address of `/metrics`; port 0 for none.
+  NetworkAddress metrics_listen;
+  /// What the deployment allows this process; zero for no limit.
+  size_t memory_limit_bytes = 0;
+  int descriptor_limit = 0;
   size_t max_body_bytes = 0;
   size_t max_total_body_bytes = 0;
   size_t max_header_bytes = 0;
@@ -93,6 +103,9 @@
   std::string peer_secret;
   std::string announce_secret;
   std::string admin_secret;
+
+  /// The text of each setting, by the name of its flag.
+  std::map<std::string, std::string> texts;
 };
 
 /// What `ParseOptions` asks the program to do.
--- a/camphorsail/runtime/daemon.cc
+++ b/camphorsail/runtime/daemon.cc
@@ -11,6 +11,7 @@
 #include "camphorsail/base/secret_equal.h"
 #include "camphorsail/base/wall_clock.h"
 #include "camphorsail/process/log_event.h"
+#include "camphorsail/process/logger.h"
 #include "camphorsail/runtime/ledger_bridge.h"
 #include "camphorsail/runtime/load_digest_codec.h"
 #include "camphorsail/runtime/random_seed.h"
@@ -137,7 +138,9 @@
                    message.payload = PackBytes(update);
                    SendTo(gateway, std::move(message));
                  },
-                 [] { return MonotonicNow(); }}) {}
+                 [] { return MonotonicNow(); }}) {
+  SetLogClock([this] { return clock_.Now(); });
+}
 
 Expected<std::unique_ptr<Daemon>> Daemon::Create(const Options& options) {
   if (Expected<void> valid = MakeSchedulerSettings(options).Validate();
@@ -180,9 +183,11 @@
     control_->Stop();
   }
   platform_.reset();
+  metrics_server_.reset();
   operators_.reset();
   announcements_.reset();
   order_sender_.reset();
+  SetLogClock({});
 }
 
 Expected<void> Daemon::StartControl() {
--- a/camphorsail/runtime/daemon.h
+++ b/camphorsail/runtime/daemon.h
@@ -21,6 +21,7 @@
 #include "camphorsail/runtime/control_runtime.h"
 #include "camphorsail/runtime/gateway_sessions.h"
 #include "camphorsail/runtime/order_sender.h"
+#include "camphorsail/runtime/replica_gauges.h"
 #include "camphorsail/runtime/request_journal.h"
 #include "camphorsail/runtime/server_directory.h"
 #include "camphorsail/runtime/timeline_collector.h"
@@ -75,6 +76,13 @@
   /// @return `kNotFound` for a server that is not known.
   Expected<void> OnServerLeft(const BackendServerId& server);
 
+  /// Takes over the settings that may change while the daemon runs. Called by
+  /// the thread that drains.
+  void ApplySettings(const Options& options) {
+    options_.drain_timeout = options.drain_timeout;
+    options_.drain_delay = options.drain_delay;
+  }
+
   /// @return True when an operator asked for a drain or the disk failed.
   bool stop_requested() const { return stop_requested_; }
 
@@ -88,6 +96,9 @@
   ControlRuntimeHooks MakeControlHooks();
   ServerDirectory::Hooks MakeDirectoryHooks();
   AdminApi::Parts MakeAdminParts();
+  /// Opens a further listener for `/metrics` where the settings have one.
+  void StartMetricsListener();
+  std::string RenderMetrics();
 
   StreamServerSettings ListenerSettings(const NetworkAddress& address) const;
   /// Answers `/healthz`, `/readyz` and `/metrics`.
@@ -114,9 +125,10 @@
   bool IsReady() const;
   void RunTicks();
 
-  const Options options_;
+  Options options_;
   SharedHybridClock clock_;
   Metrics metrics_;
+  ReplicaGauges gauges_{&metrics_};
   TimelineBuffer timeline_;
   RequestJournal journal_;
   LockedScheduler<Scheduler> scheduler_;
@@ -133,6 +145,8 @@
   std::unique_ptr<RouteServer> announcements_;
   std::unique_ptr<RouteServer> operators_;
   std::unique_ptr<RouteServer> platform_;
+  /// Null without an address of its own for metrics.
+  std::unique_ptr<RouteServer> metrics_server_;
   MonoTime next_group_load_;
   /// Since when a peer is not connected. Used on the tick thread.
   std::map<VmId, MonoTime> unreachable_since_;
--- a/camphorsail/runtime/daemon_listeners.cc
+++ b/camphorsail/runtime/daemon_listeners.cc
@@ -12,6 +12,7 @@
 
 constexpr int kAnnounceWorkers = 2;
 constexpr int kOperatorWorkers = 4;
+constexpr int kMetricsWorkers = 1;
 // The library that parses headers needs room for the request line too.
 constexpr size_t kMaxParsedHeaderBytes = 12 * 1024;
 
@@ -57,6 +58,7 @@
     return tl::unexpected<Error>(operators.error());
   }
   operators_ = *std::move(operators);
+  StartMetricsListener();
 
   if (!options_.roles.entry) {
     return {};
@@ -70,6 +72,30 @@
   return {};
 }
 
+void Daemon::StartMetricsListener() {
+  if (options_.metrics_listen.port == 0) {
+    return;
+  }
+  Expected<std::unique_ptr<RouteServer>> server =
+      RouteServer::Create(ListenerSettings(options_.metrics_listen),
+                          MakeHealthRoutes(), kMetricsWorkers);
+  if (server) {
+    metrics_server_ = *std::move(server);
+    return;
+  }
+  LogEvent("metrics_unavailable", LogLevel::kWarning)
+      .Add("address", ToString(options_.metrics_listen))
+      .Add("message", server.error().message);
+}
+
+std::string Daemon::RenderMetrics() {
+  gauges_.UpdateProcess();
+  control_->Inspect([this](const ControlNode& node) {
+    gauges_.Update(node, MonotonicNow());
+  });
+  return metrics_.Render();
+}
+
 RouteTable Daemon::MakeHealthRoutes() {
   RouteTable routes;
   routes.Add("GET", "/healthz",
@@ -79,7 +105,7 @@
                      : PlainText(503, "not ready\n");
   });
   routes.Add("GET", "/metrics", [this](const HttpRequest&) {
-    return PlainText(200, metrics_.Render());
+    return PlainText(200, RenderMetrics());
   });
   return routes;
 }
--- a/camphorsail/runtime/gateway_daemon.cc
+++ b/camphorsail/runtime/gateway_daemon.cc
@@ -6,11 +6,13 @@
 #include <csignal>
 #include <utility>
 
+#include "absl/strings/str_join.h"
 #include "camphorsail/base/fnv_hash.h"
 #include "camphorsail/base/monotonic_clock.h"
 #include "camphorsail/base/msgpack_bytes.h"
 #include "camphorsail/gateway/gateway_poll.h"
 #include "camphorsail/process/log_event.h"
+#include "camphorsail/process/logger.h"
 #include "camphorsail/runtime/random_seed.h"
 
 namespace camphorsail {
@@ -35,15 +37,24 @@
 /// Left of the drain time for the process to end.
 constexpr absl::Duration kExitMargin = absl::Milliseconds(400);
 
+RetryAllowanceSettings MakeRetrySettings(const Options& options) {
+  RetryAllowanceSettings settings;
+  settings.ratio = options.retry_ratio;
+  settings.slack = options.retry_slack;
+  settings.window = options.retry_window;
+  return settings;
+}
+
 GatewaySettings MakeSettings(const Options& options) {
   GatewaySettings settings;
   settings.listen = options.gateway_listen;
   settings.ready_listen = options.ready_listen;
   settings.pool.source_ip = options.peer_listen.ip;
   settings.placement.failure_domain = options.failure_domain;
-  settings.retries.ratio = options.retry_ratio;
-  settings.retries.slack = options.retry_slack;
-  settings.retries.window = options.retry_window;
+  settings.metrics_listen = options.metrics_listen;
+  settings.callers = CallerBudgetSettings::For(options.memory_limit_bytes,
+                                               options.descriptor_limit);
+  settings.retries = MakeRetrySettings(options);
   settings.seed = RandomSeed();
   return settings;
 }
@@ -62,12 +73,15 @@
       gateway_(MakeSettings(options), dialect, &loop_, &metrics_),
       registry_(MakeRegistrySettings(options)),
       // The low bits count within one start.
-      lease_(options.gateway_lease, RandomSeed() & ~uint64_t{0xffffffff}) {}
+      lease_(options.gateway_lease, RandomSeed() & ~uint64_t{0xffffffff}) {
+  SetLogClock([this] { return clock_.Now(); });
+}
 
 GatewayDaemon::~GatewayDaemon() {
   if (peers_ != nullptr) {
     peers_->Stop();
   }
+  SetLogClock({});
 }
 
 Expected<std::unique_ptr<GatewayDaemon>> GatewayDaemon::Create(
@@ -117,8 +131,10 @@
   return gateway_.Start();
 }
 
-bool GatewayDaemon::Run(SignalWatcher* signals) {
+bool GatewayDaemon::Run(SignalWatcher* signals,
+                        const SettingsReloader& reloader) {
   signals_ = signals;
+  reloader_ = &reloader;
   const EventLoop::WatchId watch =
       loop_.Watch(signals->fd(), EPOLLIN, [this](uint32_t) {
         if (const int signal = signals_->Wait(absl::ZeroDuration())) {
@@ -160,10 +176,11 @@
   }
   replicas_ = std::move(sorted);
   polled_replica_ = 0;
-  LogEvent event("replicas_changed");
-  for (size_t i = 0; i < replicas_.size(); ++i) {
-    event.Add("replica_" + std::to_string(i), replicas_[i]);
-  }
+  LogEvent("replicas_changed")
+      .Add("replicas",
+           absl::StrJoin(replicas_, ",", [](std::string* out, const VmId& vm) {
+             out->append(vm.value());
+           }));
 }
 
 void GatewayDaemon::Poll() {
@@ -185,7 +202,7 @@
   const bool valid = lease_.IsValid(now);
   if (valid != lease_was_valid_) {
     lease_was_valid_ = valid;
-    LogEvent(valid ? "lease_gained" : "lease_lost",
+    LogEvent(valid ? LogEventName("lease_gained") : LogEventName("lease_lost"),
              valid ? LogLevel::kInfo : LogLevel::kWarning)
         .Add("table_version", table_version_);
   }
@@ -274,7 +291,7 @@
 
 void GatewayDaemon::OnSignal(int signal) {
   if (signal == SIGHUP) {
-    LogEvent("settings_reload").Add("note", "settings apply at the next start");
+    Reload();
     return;
   }
   if (std::exchange(draining_, true)) {
@@ -288,6 +305,13 @@
   loop_.At(drain_since_ + options_.drain_delay, [this] { CheckDrained(); });
 }
 
+void GatewayDaemon::Reload() {
+  if (reloader_->Reload(&options_)) {
+    lease_.SetLength(options_.gateway_lease);
+    gateway_.SetRetrySettings(MakeRetrySettings(options_));
+  }
+}
+
 void GatewayDaemon::CheckDrained() {
   const absl::Duration limit = options_.drain_timeout - kExitMargin;
   complete_ = gateway_.IsIdle();
--- a/camphorsail/runtime/gateway_daemon.h
+++ b/camphorsail/runtime/gateway_daemon.h
@@ -15,6 +15,7 @@
 #include "camphorsail/peer/shared_hybrid_clock.h"
 #include "camphorsail/process/metrics.h"
 #include "camphorsail/process/options.h"
+#include "camphorsail/process/settings_reloader.h"
 #include "camphorsail/process/signal_watcher.h"
 
 namespace camphorsail {
@@ -32,8 +33,9 @@
   ~GatewayDaemon();
 
   /// Serves until SIGTERM or SIGINT, then drains.
+  /// @param reloader Reads the settings again at SIGHUP.
   /// @return True when no request was cut.
-  bool Run(SignalWatcher* signals);
+  bool Run(SignalWatcher* signals, const SettingsReloader& reloader);
 
  private:
   GatewayDaemon(const Options& options, const WireDialect& dialect);
@@ -42,6 +44,7 @@
   void OnPeerMessage(const VmId& from, const PeerMessage& message);
   void OnUpdate(const VmId& from, const GatewayUpdate& update);
   void OnSignal(int signal);
+  void Reload();
   /// Asks the next replica to confirm the table.
   void Poll();
   void SendPoll(const VmId& to);
@@ -53,7 +56,7 @@
   void CheckDrained();
   void FollowReplicas(const std::vector<VmId>& replicas);
 
-  const Options options_;
+  Options options_;
   SharedHybridClock clock_;
   Metrics metrics_;
   EventLoop loop_;
@@ -62,6 +65,7 @@
   TableLease lease_;
   std::unique_ptr<PeerTransport> peers_;
   SignalWatcher* signals_ = nullptr;
+  const SettingsReloader* reloader_ = nullptr;
 
   uint64_t table_version_ = 0;
   /// In the order in which this gateway prefers them; each gateway has another
--- a/camphorsail/runtime/request_journal.cc
+++ b/camphorsail/runtime/request_journal.cc
@@ -1,5 +1,8 @@
 #include "camphorsail/runtime/request_journal.h"
 
+#include <cassert>
+#include <optional>
+
 #include "camphorsail/base/request_id_text.h"
 #include "camphorsail/process/log_event.h"
 #include "camphorsail/process/logger.h"
@@ -17,6 +20,21 @@
                                                         : LogLevel::kDebug;
 }
 
+/// Decisions of the path name their events and inputs by text, which the
+/// timeline keeps. All are in the lists; a release build shows one that is not
+/// under a general name.
+LogEventName ListedEvent(const std::string& name) {
+  const std::optional<LogEventName> listed = LogEventName::Find(name);
+  assert(listed.has_value());
+  return listed.value_or(LogEventName("unlisted"));
+}
+
+LogFieldName ListedField(const std::string& name) {
+  const std::optional<LogFieldName> listed = LogFieldName::Find(name);
+  assert(listed.has_value());
+  return listed.value_or(LogFieldName("unlisted"));
+}
+
 }  // namespace
 
 RequestJournal::RequestJournal(VmId vm,
@@ -57,7 +75,7 @@
   }
   const LogLevel level = LevelOf(action.decision);
   if (IsLogged(level)) {
-    LogEvent line("request_" + action.decision, level);
+    LogEvent line(ListedEvent("request_" + action.decision), level);
     line.Add("request", FormatRequestId(action.request))
         .Add("account", action.account)
         .Add("class", action.class_id)
@@ -67,7 +85,7 @@
     for (const auto& [name, value] : action.inputs) {
       // The fixed fields above have these already.
       if (name != "server" && name != "class" && name != "account") {
-        line.Add(name, value);
+        line.Add(ListedField(name), value);
       }
     }
   }
@@ -93,9 +111,9 @@
     const std::string& kind,
     std::vector<std::pair<std::string, std::string>> inputs) {
   if (IsLogged(LogLevel::kInfo)) {
-    LogEvent line(kind);
+    LogEvent line(ListedEvent(kind));
     for (const auto& [name, value] : inputs) {
-      line.Add(name, value);
+      line.Add(ListedField(name), value);
     }
   }
   TimelineEvent event;
--- a/ctl/command.h
+++ b/ctl/command.h
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "absl/time/time.h"
+
 namespace camphorsail::ctl {
 
 enum class CommandKind : uint8_t {
@@ -25,8 +27,15 @@
   kRefusedMinutes,
   kTimeline,
   kDrain,
+  kExplain,
+  kLogEvents,
 };
 
+/// @return True for a command that reads files only and calls no VM.
+inline bool IsLocal(CommandKind kind) {
+  return kind == CommandKind::kExplain || kind == CommandKind::kLogEvents;
+}
+
 /// What the operator asks for. Fields that the kind does not use are empty.
 struct Command {
   CommandKind kind = CommandKind::kStatus;
@@ -62,6 +71,11 @@
   int64_t need = 0;
   /// VM to drain; empty for the VM that is asked.
   std::string vm;
+
+  /// Request, log files and span of `explain`.
+  std::string request;
+  std::vector<std::string> files;
+  absl::Duration around;
 };
 
 }  // namespace camphorsail::ctl
--- a/ctl/command_table.cc
+++ b/ctl/command_table.cc
@@ -114,6 +114,21 @@
        1,
        {},
        "Stop a VM gracefully (default: the one asked)."},
+      {CommandKind::kExplain,
+       {"explain"},
+       "REQUEST-ID [LOG-FILE...]",
+       1,
+       kManyOperands,
+       {"around"},
+       "Print the story of one request from the logs of several processes "
+       "(default: standard input), with its cause in the last line."},
+      {CommandKind::kLogEvents,
+       {"log-events"},
+       "",
+       0,
+       0,
+       {},
+       "Print the list of log events and fields."},
   };
   return *table;
 }
--- a/ctl/parse_command.cc
+++ b/ctl/parse_command.cc
@@ -50,6 +50,9 @@
           {"kind", "Kind of event"},
           {"role", "mixed (default), prefill or decode"},
           {"need", "Larger values are loaded first (default 0)"},
+          {"around",
+           "Also print changes of state this long before and after, such as "
+           "2s"},
           {"limit", "Largest number of lines, 1 to 10000"}};
   return *flags;
 }
@@ -384,6 +387,10 @@
     case CommandKind::kDrain:
       command->vm = operands.empty() ? "" : operands[0];
       break;
+    case CommandKind::kExplain:
+      command->request = operands[0];
+      command->files.assign(operands.begin() + 1, operands.end());
+      break;
     default:
       break;
   }
@@ -402,6 +409,17 @@
   }
 }
 
+void SetAround(const RawCommand& raw, Command* command, UsageError* error) {
+  const auto around = raw.flags.find("around");
+  if (around != raw.flags.end() &&
+      (!absl::ParseDuration(around->second, &command->around) ||
+       command->around < absl::ZeroDuration())) {
+    error->Set(absl::StrCat("--around: ", around->second,
+                            " is not allowed; allowed: a duration such as "
+                            "500ms or 2s"));
+  }
+}
+
 void SetRefusedMinutesFormat(const RawCommand& raw,
                              Command* command,
                              UsageError* error) {
@@ -441,9 +459,13 @@
               &command, error);
   SetQuery(raw, wall_now, &command, error);
   SetEngineFlags(raw, &command, error);
+  SetAround(raw, &command, error);
   if (spec->kind == CommandKind::kRefusedMinutes) {
     SetRefusedMinutesFormat(raw, &command, error);
   }
+  if (IsLocal(spec->kind)) {
+    return command;
+  }
   SetChange(raw, environment, &command, error);
   SetConnection(raw, environment, &command, error);
   return command;
--- a/ctl/render.cc
+++ b/ctl/render.cc
@@ -233,6 +233,8 @@
     case CommandKind::kSettingsDiff:
     case CommandKind::kSettingsExport:
     case CommandKind::kRefusedMinutes:
+    case CommandKind::kExplain:
+    case CommandKind::kLogEvents:
       break;
   }
   return absl::StrCat(
--- a/ctl/run_command.cc
+++ b/ctl/run_command.cc
@@ -95,6 +95,10 @@
       case CommandKind::kDrain:
         RunDrain();
         break;
+      case CommandKind::kExplain:
+      case CommandKind::kLogEvents:
+        // Local commands are not executed here.
+        break;
     }
     return std::move(result_);
   }
--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -1,14 +1,16 @@
 #include <curl/curl.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <string>
 #include <vector>
 
 #include "absl/synchronization/mutex.h"
 #include "camphorsail/process/log_event.h"
-#include "camphorsail/process/logger.h"
+#include "camphorsail/process/log_writer.h"
 #include "camphorsail/process/options.h"
+#include "camphorsail/process/settings_reloader.h"
 #include "camphorsail/process/signal_watcher.h"
 #include "camphorsail/runtime/daemon.h"
 #include "camphorsail/runtime/gateway_daemon.h"
@@ -18,10 +20,14 @@
 namespace camphorsail {
 namespace {
 
-// How often a stop that an operator asked for is looked for.
+/// How often a stop that an operator asked for is looked for.
 constexpr absl::Duration kStopPollPeriod = absl::Milliseconds(100);
+/// Time that the reader of the log has at the end of the process.
+constexpr absl::Duration kLogStopLimit = absl::Milliseconds(300);
 
-int RunGateway(const Options& options, SignalWatcher* signals) {
+int RunGateway(const Options& options,
+               const SettingsReloader& reloader,
+               SignalWatcher* signals) {
   Expected<std::unique_ptr<GatewayDaemon>> daemon =
       GatewayDaemon::Create(options, platform::MakeWireDialect());
   if (!daemon) {
@@ -33,26 +39,15 @@
       .Add("failure_domain", options.failure_domain)
       .Add("callers", ToString(options.gateway_listen))
       .Add("peers", ToString(options.peer_listen));
-  const bool complete = (*daemon)->Run(signals);
+  const bool complete = (*daemon)->Run(signals, reloader);
   daemon->reset();
   LogEvent("daemon_stopped").Add("all_requests_finished", complete);
   return complete ? 0 : 1;
 }
 
-int RunDaemon(const Options& options) {
-  ConfigureLogger(options.log_level, options.vm);
-  // Created before any thread, so that all threads inherit the signal mask.
-  Expected<std::unique_ptr<SignalWatcher>> signals = SignalWatcher::Create();
-  if (!signals) {
-    std::cerr << "error: " << signals.error().message << "\n";
-    return 1;
-  }
-  // Debian's Abseil looks for lock cycles at each lock, under one lock for the
-  // whole process. The unit tests leave the check on.
-  absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
-  if (options.roles.gateway) {
-    return RunGateway(options, signals->get());
-  }
+int RunDaemon(Options options,
+              const SettingsReloader& reloader,
+              SignalWatcher* signals) {
   curl_global_init(CURL_GLOBAL_DEFAULT);
   Expected<std::unique_ptr<Daemon>> daemon = Daemon::Create(options);
   if (!daemon) {
@@ -77,10 +72,11 @@
       .Add("peers", ToString(options.peer_listen));
   int signal = 0;
   while (signal == 0 && !(*daemon)->stop_requested()) {
-    signal = (*signals)->Wait(kStopPollPeriod);
+    signal = signals->Wait(kStopPollPeriod);
     if (signal == SIGHUP) {
-      LogEvent("settings_reload")
-          .Add("note", "settings apply at the next start");
+      if (reloader.Reload(&options)) {
+        (*daemon)->ApplySettings(options);
+      }
       signal = 0;
     }
   }
@@ -92,17 +88,41 @@
   return complete ? 0 : 1;
 }
 
+int Run(const Options& options, const SettingsReloader& reloader) {
+  ApplyLogSettings(options);
+  // Created before any thread, so that all threads inherit the signal mask.
+  Expected<std::unique_ptr<SignalWatcher>> signals = SignalWatcher::Create();
+  if (!signals) {
+    std::cerr << "error: " << signals.error().message << "\n";
+    return 1;
+  }
+  // Debian's Abseil looks for lock cycles at each lock, under one lock for the
+  // whole process. The unit tests leave the check on.
+  absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
+  LogWriter log(options.log_buffer_bytes);
+  const int code = options.roles.gateway
+                       ? RunGateway(options, reloader, signals->get())
+                       : RunDaemon(options, reloader, signals->get());
+  if (!log.Stop(kLogStopLimit)) {
+    // The end of the process would wait for the reader of the log.
+    std::_Exit(code);
+  }
+  return code;
+}
+
 }  // namespace
 }  // namespace camphorsail
 
 int main(int argc, char** argv) {
+  const std::vector<std::string> arguments(argv, argv + argc);
   const camphorsail::OptionsOutcome outcome =
-      camphorsail::ParseOptions(std::vector<std::string>(argv, argv + argc),
-                                camphorsail::ProcessEnvironment());
+      camphorsail::ParseOptions(arguments, camphorsail::ProcessEnvironment());
   std::cout << outcome.output;
   std::cerr << outcome.errors;
   if (!outcome.options.has_value()) {
     return outcome.exit_code;
   }
-  return camphorsail::RunDaemon(*outcome.options);
+  return camphorsail::Run(*outcome.options,
+                          camphorsail::SettingsReloader(
+                              arguments, camphorsail::ProcessEnvironment()));
 }
