--- a/camphorsail/explain/request_cause.cc
+++ b/camphorsail/explain/request_cause.cc
@@ -114,12 +114,13 @@
               {last_}};
     }
     const bool has_answer = last_->Number("wait_ms").value_or(0) > 0;
-    return {
-        "caller_left",
-        absl::StrCat(
-            "the caller left after ", age, "; server ", started_->Get("server"),
-            has_answer ? " had begun to answer" : " had not answered yet"),
-        {started_, last_}};
+    return {"caller_left",
+            absl::StrCat("the caller left after ", age, "; server ",
+                         started_->Get("server"), ", expected to answer in ",
+                         started_->Get("expected_ms"),
+                         has_answer ? " ms, had begun to answer"
+                                    : " ms, had not answered yet"),
+            {started_, last_}};
   }
 
   RequestCause Refused() const {
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -358,7 +358,7 @@
       server.OnDispatch(choice.prefill, exchange->placement.is_quick, now);
   server.prefixes.Record(exchange->placement.prefixes, now);
   attempt.connection = pool_.Take(server.address);
-  journal_.OnAttemptStarted(*exchange, choice, now);
+  journal_.OnAttemptStarted(*exchange, choice);
   const Route& route = *exchange->route;
   if (route.MayRunAgain() && route.objective_ms > 0) {
     const absl::Duration objective = absl::Milliseconds(route.objective_ms);
--- a/camphorsail/gateway/gateway_journal.cc
+++ b/camphorsail/gateway/gateway_journal.cc
@@ -14,16 +14,12 @@
       .Add("table_version",
            exchange.index ? exchange.index->table().version : 0)
       .Add("age_ms", absl::ToInt64Milliseconds(now - exchange.arrived_at))
-      .Add("urgency", exchange.urgency)
       .Add("tries", exchange.tries)
       .Add("runs", exchange.runs);
   if (exchange.attempt.has_value()) {
     const ExchangeAttempt& attempt = *exchange.attempt;
     event->Add("server", attempt.server->id)
-        .Add("attempt_ms", absl::ToInt64Milliseconds(now - attempt.started_at))
-        .Add("place", attempt.place)
         .Add("load", attempt.load)
-        .Add("prefill_ms", absl::ToInt64Milliseconds(attempt.prefill))
         .Add("expected_ms", absl::ToInt64Milliseconds(attempt.expected))
         .Add("first_ms", absl::ToInt64Milliseconds(attempt.first));
   }
@@ -65,11 +61,21 @@
 }
 
 void GatewayJournal::OnAttemptStarted(const Exchange& exchange,
-                                      const PlacementChoice& choice,
-                                      MonoTime now) {
-  LogEvent event("attempt_started");
-  Describe(exchange, now, &event);
-  event.Add("candidates", choice.candidates)
+                                      const PlacementChoice& choice) {
+  // Short, since each request has one; the last line of the request has the
+  // rest.
+  const ExchangeAttempt& attempt = *exchange.attempt;
+  LogEvent("attempt_started")
+      .Add("request", exchange.request.request_id)
+      .Add("route", exchange.route->name)
+      .Add("urgency", exchange.urgency)
+      .Add("tries", exchange.tries)
+      .Add("server", attempt.server->id)
+      .Add("place", attempt.place)
+      .Add("load", attempt.load)
+      .Add("prefill_ms", absl::ToInt64Milliseconds(attempt.prefill))
+      .Add("expected_ms", absl::ToInt64Milliseconds(attempt.expected))
+      .Add("candidates", choice.candidates)
       .Add("cost_ms", absl::ToInt64Milliseconds(choice.cost))
       .Add("next_cost_ms", choice.candidates > 1
                                ? absl::ToInt64Milliseconds(choice.next_cost)
@@ -116,7 +122,11 @@
   metrics_->Increment(attempts_, {failure, next});
   LogEvent event("attempt_failed", LogLevel::kWarning);
   Describe(exchange, now, &event);
-  event.Add("failure", failure).Add("next", next);
+  event
+      .Add("attempt_ms",
+           absl::ToInt64Milliseconds(now - exchange.attempt->started_at))
+      .Add("failure", failure)
+      .Add("next", next);
 }
 
 void GatewayJournal::OnBadRequest(ErrorKind kind) {
--- a/camphorsail/gateway/gateway_journal.h
+++ b/camphorsail/gateway/gateway_journal.h
@@ -21,8 +21,7 @@
 
   /// A server was chosen and is sent the request.
   void OnAttemptStarted(const Exchange& exchange,
-                        const PlacementChoice& choice,
-                        MonoTime now);
+                        const PlacementChoice& choice);
   /// The request was answered by a server.
   void OnAnswered(const Exchange& exchange, int status, MonoTime now);
   /// The gateway answered with an error, or cut the answer.
--- a/camphorsail/peer/shared_hybrid_clock.cc
+++ b/camphorsail/peer/shared_hybrid_clock.cc
@@ -13,7 +13,10 @@
     : wall_clock_(std::move(wall_clock)) {}
 
 HybridTimestamp SharedHybridClock::Now() {
-  const absl::Time wall_now = wall_clock_();
+  return Now(wall_clock_());
+}
+
+HybridTimestamp SharedHybridClock::Now(absl::Time wall_now) {
   absl::MutexLock lock(&mutex_);
   return clock_.Now(wall_now);
 }
--- a/camphorsail/peer/shared_hybrid_clock.h
+++ b/camphorsail/peer/shared_hybrid_clock.h
@@ -24,6 +24,9 @@
   /// @return A timestamp above every earlier and every observed one.
   HybridTimestamp Now();
 
+  /// The same for a caller that has read the wall clock already.
+  HybridTimestamp Now(absl::Time wall_now);
+
   /// Moves the clock past a timestamp that another process sent.
   ///
   /// @return False when `remote` is more than `kMaxLead` ahead of the wall
--- a/camphorsail/process/log_event.cc
+++ b/camphorsail/process/log_event.cc
@@ -1,50 +1,81 @@
 #include "camphorsail/process/log_event.h"
 
-#include <optional>
-
 #include "absl/strings/str_format.h"
 #include "camphorsail/base/wall_clock.h"
 #include "camphorsail/process/logger.h"
 
 namespace camphorsail {
 
-std::string QuoteLogValue(std::string_view value) {
-  bool plain = !value.empty();
-  for (char c : value) {
-    plain = plain && c > ' ' && c < 0x7f && c != '"' && c != '=' && c != '\\';
+namespace {
+
+/// Room for most lines.
+constexpr size_t kUsualLineBytes = 512;
+
+bool IsPlain(std::string_view value) {
+  for (const char c : value) {
+    if (c <= ' ' || c >= 0x7f || c == '"' || c == '=' || c == '\\') {
+      return false;
+    }
   }
-  if (plain) {
-    return std::string(value);
+  return !value.empty();
+}
+
+void AppendValue(std::string_view value, std::string* text) {
+  if (IsPlain(value)) {
+    text->append(value);
+    return;
   }
-  std::string quoted = "\"";
-  for (char c : value) {
+  *text += '"';
+  for (const char c : value) {
     switch (c) {
       case '"':
-        quoted += "\\\"";
+        *text += "\\\"";
         break;
       case '\\':
-        quoted += "\\\\";
+        *text += "\\\\";
         break;
       case '\n':
-        quoted += "\\n";
+        *text += "\\n";
         break;
       case '\r':
-        quoted += "\\r";
+        *text += "\\r";
         break;
       case '\t':
-        quoted += "\\t";
+        *text += "\\t";
         break;
       default:
         if (c >= ' ' && c < 0x7f) {
-          quoted += c;
+          *text += c;
         } else {
-          absl::StrAppendFormat(&quoted, "\\x%02x",
-                                static_cast<unsigned char>(c));
+          absl::StrAppendFormat(text, "\\x%02x", static_cast<unsigned char>(c));
         }
     }
   }
-  quoted += '"';
-  return quoted;
+  *text += '"';
+}
+
+/// Appends a time in UTC with microseconds. The text of the second is kept,
+/// since the calendar takes most of the time.
+void AppendTime(absl::Time time, std::string* text) {
+  thread_local int64_t kept_second = -1;
+  thread_local std::string kept_text;
+  const int64_t micros = absl::ToUnixMicros(time);
+  const int64_t second = absl::ToUnixSeconds(time);
+  if (second != kept_second) {
+    kept_second = second;
+    kept_text =
+        absl::FormatTime("%Y-%m-%dT%H:%M:%S", time, absl::UTCTimeZone());
+  }
+  text->append(kept_text);
+  absl::StrAppendFormat(text, ".%06dZ", micros - second * 1'000'000);
+}
+
+}  // namespace
+
+std::string QuoteLogValue(std::string_view value) {
+  std::string text;
+  AppendValue(value, &text);
+  return text;
 }
 
 LogEvent::LogEvent(LogEventName name, LogLevel level) : level_(level) {
@@ -56,15 +87,14 @@
     return;
   }
   logged_ = true;
+  line_.reserve(kUsualLineBytes);
   line_ = "time=";
-  line_ += absl::FormatTime("%Y-%m-%dT%H:%M:%E6SZ", now, absl::UTCTimeZone());
+  AppendTime(now, &line_);
   line_ += " level=";
   line_ += ToString(level);
-  Add("vm", LoggerVm());
-  if (const std::optional<HybridTimestamp> clock = LogClockNow()) {
-    Add("clock", absl::StrCat(clock->wall_micros, ".", clock->counter));
-  }
-  Add("event", name.text());
+  AppendLogOrigin(now, &line_);
+  line_ += " event=";
+  line_ += name.text();
 }
 
 LogEvent::~LogEvent() {
@@ -75,10 +105,8 @@
 
 LogEvent& LogEvent::Add(LogFieldName key, std::string_view value) {
   if (logged_) {
-    line_ += ' ';
-    line_ += key.text();
-    line_ += '=';
-    line_ += QuoteLogValue(value);
+    AddKey(key);
+    AppendValue(value, &line_);
   }
   return *this;
 }
--- a/camphorsail/process/log_event.h
+++ b/camphorsail/process/log_event.h
@@ -40,14 +40,17 @@
     return Add(key, std::string_view(value));
   }
   LogEvent& Add(LogFieldName key, bool value) {
-    return Add(key, value ? "true" : "false");
+    return Add(key, std::string_view(value ? "true" : "false"));
   }
   template <typename T>
   requires std::integral<T> || std::floating_point<T> LogEvent& Add(
       LogFieldName key,
       T value) {
-    const std::string text = absl::StrCat(value);
-    return Add(key, std::string_view(text));
+    if (logged_) {
+      AddKey(key);
+      absl::StrAppend(&line_, value);
+    }
+    return *this;
   }
   /// Written in milliseconds; name the key accordingly.
   LogEvent& Add(LogFieldName key, absl::Duration value) {
@@ -59,6 +62,12 @@
   }
 
  private:
+  void AddKey(LogFieldName key) {
+    line_ += ' ';
+    line_ += key.text();
+    line_ += '=';
+  }
+
   const LogLevel level_;
   bool logged_ = false;
   std::string line_;
--- a/camphorsail/process/log_schema.h
+++ b/camphorsail/process/log_schema.h
@@ -173,8 +173,8 @@
     {"class", "Class of the request."},
     {"client", "Address of the other end."},
     {"clock",
-     "Hybrid clock: microseconds since 1970 and a counter; orders the "
-     "lines of all processes."},
+     "Hybrid clock: microseconds since 1970 and a counter; orders the lines of "
+     "all processes. Left out when it equals `time`."},
     {"code", "Code of the error table."},
     {"cost_ms", "Estimated cost of the chosen server."},
     {"counter", "Counter of a fencing token."},
--- a/camphorsail/process/log_schema_page.cc
+++ b/camphorsail/process/log_schema_page.cc
@@ -16,7 +16,9 @@
 }
 
 std::string Code(std::string_view name) {
-  return "`" + std::string(name) + "`";
+  std::string code(1, '`');
+  code.append(name).append(1, '`');
+  return code;
 }
 
 }  // namespace
--- a/camphorsail/process/log_writer.cc
+++ b/camphorsail/process/log_writer.cc
@@ -15,7 +15,7 @@
 
 /// Lines are collected for this long and written together, which saves system
 /// calls and wake-ups. Errors are written at once.
-constexpr absl::Duration kCollectTime = absl::Milliseconds(20);
+constexpr absl::Duration kCollectTime = absl::Milliseconds(250);
 /// How soon lines that were left out are reported.
 constexpr absl::Duration kReportInterval = absl::Seconds(1);
 /// Time that the reader has at the end of a process.
--- a/camphorsail/process/logger.cc
+++ b/camphorsail/process/logger.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "absl/synchronization/mutex.h"
 #include "camphorsail/base/wall_clock.h"
 #include "camphorsail/process/log_event.h"
@@ -26,8 +27,9 @@
   /// One for each event of the list.
   std::array<LogLineBudget, kLogEvents.size()> budgets;
   absl::Mutex mutex;
-  VmId vm ABSL_GUARDED_BY(mutex);
-  std::function<HybridTimestamp()> clock ABSL_GUARDED_BY(mutex);
+  /// As it stands in a line.
+  std::string vm_text ABSL_GUARDED_BY(mutex) = "\"\"";
+  LogClock clock ABSL_GUARDED_BY(mutex);
   std::shared_ptr<const LogSink> sink ABSL_GUARDED_BY(mutex);
 };
 
@@ -62,14 +64,14 @@
   LoggerState& state = State();
   state.level.store(level, std::memory_order_relaxed);
   absl::MutexLock lock(&state.mutex);
-  state.vm = vm;
+  state.vm_text = QuoteLogValue(vm.value());
 }
 
 void SetLogLinesPerSecond(int lines) {
   State().lines_per_second.store(lines, std::memory_order_relaxed);
 }
 
-void SetLogClock(std::function<HybridTimestamp()> clock) {
+void SetLogClock(LogClock clock) {
   LoggerState& state = State();
   absl::MutexLock lock(&state.mutex);
   state.clock = std::move(clock);
@@ -136,17 +138,18 @@
   LOG(INFO) << text;
 }
 
-VmId LoggerVm() {
-  LoggerState& state = State();
-  absl::MutexLock lock(&state.mutex);
-  return state.vm;
-}
-
-std::optional<HybridTimestamp> LogClockNow() {
+void AppendLogOrigin(absl::Time now, std::string* line) {
   LoggerState& state = State();
   // The lock is held, so that the clock is not destroyed meanwhile.
   absl::MutexLock lock(&state.mutex);
-  return state.clock ? std::optional(state.clock()) : std::nullopt;
+  line->append(" vm=").append(state.vm_text);
+  if (state.clock) {
+    const HybridTimestamp clock = state.clock(now);
+    // Mostly the two clocks are equal; a shorter line costs less.
+    if (clock != HybridTimestamp{absl::ToUnixMicros(now), 0}) {
+      absl::StrAppend(line, " clock=", clock.wall_micros, ".", clock.counter);
+    }
+  }
 }
 
 }  // namespace camphorsail
--- a/camphorsail/process/logger.h
+++ b/camphorsail/process/logger.h
@@ -3,7 +3,7 @@
 
 #include <cstdint>
 #include <functional>
-#include <optional>
+#include <string>
 #include <string_view>
 
 #include "absl/time/time.h"
@@ -29,9 +29,12 @@
 /// Sets how many lines of each bounded event are written in a second.
 void SetLogLinesPerSecond(int lines);
 
+/// Gives the hybrid time for a wall time that was just read.
+using LogClock = std::function<HybridTimestamp(absl::Time wall_now)>;
+
 /// Sets the source of the `clock` field; an empty one leaves the field out.
 /// Thread-safe.
-void SetLogClock(std::function<HybridTimestamp()> clock);
+void SetLogClock(LogClock clock);
 
 /// Passes the lines to `sink` in place of standard output; an empty sink
 /// restores standard output, to which they are written at once.
@@ -59,11 +62,9 @@
 /// @return Lines left out since the process began.
 uint64_t DroppedLogLines();
 
-/// @return The configured `vm` field.
-VmId LoggerVm();
-
-/// @return Value of the field `clock`; nothing without a clock.
-std::optional<HybridTimestamp> LogClockNow();
+/// Appends the fields `vm` and, where the hybrid clock differs from the wall
+/// clock, `clock`.
+void AppendLogOrigin(absl::Time now, std::string* line);
 
 }  // namespace camphorsail
 
--- a/camphorsail/runtime/daemon.cc
+++ b/camphorsail/runtime/daemon.cc
@@ -139,7 +139,7 @@
                    SendTo(gateway, std::move(message));
                  },
                  [] { return MonotonicNow(); }}) {
-  SetLogClock([this] { return clock_.Now(); });
+  SetLogClock([this](absl::Time now) { return clock_.Now(now); });
 }
 
 Expected<std::unique_ptr<Daemon>> Daemon::Create(const Options& options) {
--- a/camphorsail/runtime/gateway_daemon.cc
+++ b/camphorsail/runtime/gateway_daemon.cc
@@ -74,7 +74,7 @@
       registry_(MakeRegistrySettings(options)),
       // The low bits count within one start.
       lease_(options.gateway_lease, RandomSeed() & ~uint64_t{0xffffffff}) {
-  SetLogClock([this] { return clock_.Now(); });
+  SetLogClock([this](absl::Time now) { return clock_.Now(now); });
 }
 
 GatewayDaemon::~GatewayDaemon() {
--- a/tests/unit/explain/log_line_test.cc
+++ b/tests/unit/explain/log_line_test.cc
@@ -15,7 +15,7 @@
 std::string Logged(Write write) {
   std::string line;
   SetLogSink([&](LogLevel, std::string_view text) { line = text; });
-  SetLogClock([] { return HybridTimestamp{1234567, 8}; });
+  SetLogClock([](absl::Time) { return HybridTimestamp{1234567, 8}; });
   ConfigureLogger(LogLevel::kInfo, VmId("vm1"));
   write();
   SetLogClock({});
--- a/tests/unit/process/log_event_test.cc
+++ b/tests/unit/process/log_event_test.cc
@@ -100,7 +100,7 @@
 // Guards against lines of several VMs that cannot be put in order.
 TEST(LogEventTest, LinesCarryTheHybridClock) {
   LogCapture capture;
-  SetLogClock([] { return HybridTimestamp{12, 3}; });
+  SetLogClock([](absl::Time) { return HybridTimestamp{12, 3}; });
   LogEvent("daemon_stopped");
   SetLogClock({});
   LogEvent("daemon_stopped");
