--- a/tests/unit/consensus/history.cc
+++ b/tests/unit/consensus/history.cc
@@ -11,16 +11,19 @@
 
 class History {
  public:
-  History(uint64_t seed, const VirtualRules& rules)
+  History(uint64_t seed, const VirtualRules& rules, HistoryKind kind)
       : random_(seed),
-        cluster_(MakeSettings(&random_, rules), random_.Next()),
+        kind_(kind),
+        settings_(MakeSettings(&random_, rules, kind)),
+        cluster_(settings_, random_.Next()),
         checker_(&cluster_) {}
 
   HistoryResult Run();
 
  private:
   static VirtualClusterSettings MakeSettings(Random* random,
-                                             const VirtualRules& rules);
+                                             const VirtualRules& rules,
+                                             HistoryKind kind);
   void Fault();
   void LoseDisk(int i);
   void RestartLater(int i, absl::Duration shortest, absl::Duration longest);
@@ -29,6 +32,7 @@
   void CheckReads();
   void CheckRecovery();
   bool HasRecovered();
+  bool HasVoters(const Membership& membership) const;
   bool CanRecover();
   int AnyReplica() {
     return static_cast<int>(
@@ -50,6 +54,8 @@
   }
 
   Random random_;
+  const HistoryKind kind_;
+  const VirtualClusterSettings settings_;
   VirtualCluster cluster_;
   InvariantChecker checker_;
   HistoryResult result_;
@@ -61,10 +67,20 @@
 };
 
 VirtualClusterSettings History::MakeSettings(Random* random,
-                                             const VirtualRules& rules) {
+                                             const VirtualRules& rules,
+                                             HistoryKind kind) {
   VirtualClusterSettings settings;
   const uint64_t size = random->Below(10);
   settings.replicas = size < 6 ? 4 : size < 8 ? 3 : 5;
+  if (kind == HistoryKind::kDiscovered) {
+    // A group that tolerates one loss or two, with spare replicas or none.
+    settings.replica.target_voters = size < 5 ? 3 : 5;
+    settings.replicas =
+        static_cast<int>(settings.replica.target_voters + random->Below(3));
+    settings.founders = 3;
+    settings.observers = 0;
+    settings.replica.admission_lease = false;
+  }
   settings.rules = rules;
   if (random->Below(2) == 0) {
     // Small bounds, so that snapshots, chunks and windows are used.
@@ -255,19 +271,24 @@
   return true;
 }
 
+bool History::HasVoters(const Membership& membership) const {
+  const size_t voters = kind_ == HistoryKind::kDiscovered
+                            ? settings_.replica.target_voters
+                            : membership.members.size();
+  return membership.members.size() == static_cast<size_t>(settings_.replicas) &&
+         membership.VoterCount() == voters;
+}
+
 bool History::HasRecovered() {
   const int leader = cluster_.Leader();
   if (leader < 0) {
     return false;
   }
-  const Membership& membership =
-      cluster_.node(leader).replica->CurrentMembership();
-  if (membership.members.size() != static_cast<size_t>(cluster_.replicas()) ||
-      membership.VoterCount() != membership.members.size()) {
+  if (!HasVoters(cluster_.node(leader).replica->CurrentMembership())) {
     return false;
   }
   for (int i = 0; i < cluster_.size(); ++i) {
-    if (!cluster_.HasLease(i) ||
+    if ((kind_ == HistoryKind::kListed && !cluster_.HasLease(i)) ||
         cluster_.node(i).applied < checker_.committed()) {
       return false;
     }
@@ -329,8 +350,10 @@
 
 }  // namespace
 
-HistoryResult RunHistory(uint64_t seed, const VirtualRules& rules) {
-  return History(seed, rules).Run();
+HistoryResult RunHistory(uint64_t seed,
+                         const VirtualRules& rules,
+                         HistoryKind kind) {
+  return History(seed, rules, kind).Run();
 }
 
 }  // namespace camphorsail
--- a/tests/unit/consensus/history.h
+++ b/tests/unit/consensus/history.h
@@ -8,6 +8,15 @@
 
 namespace camphorsail {
 
+/// How the group of a history gets its voters.
+enum class HistoryKind : uint8_t {
+  /// All replicas are voters and are named in the settings.
+  kListed,
+  /// Three replicas found the group, the others join, and the leader keeps a
+  /// number of voters; there are no leases.
+  kDiscovered,
+};
+
 /// What one random history showed.
 struct HistoryResult {
   /// Empty when every invariant held.
@@ -23,7 +32,9 @@
 /// commits, repairs its membership and gives leases again.
 /// @param seed Determines the history.
 /// @param rules The rules in force.
-HistoryResult RunHistory(uint64_t seed, const VirtualRules& rules);
+HistoryResult RunHistory(uint64_t seed,
+                         const VirtualRules& rules,
+                         HistoryKind kind = HistoryKind::kListed);
 
 }  // namespace camphorsail
 
--- a/tests/unit/consensus/history_test.cc
+++ b/tests/unit/consensus/history_test.cc
@@ -12,15 +12,12 @@
 namespace {
 
 constexpr int kThreads = 4;
+/// Part of the histories that is run again with discovered voters.
+constexpr uint64_t kDiscoveredPart = 4;
 
-// Guards against any fault sequence that breaks a guarantee of the replicated
-// log or of the lease, or after which the group does not recover. The first
-// version of the log failed: it lost its log when a snapshot was created twice,
-// never committed after a restart of all VMs, and stopped sending to a follower
-// after a lost append.
-TEST(HistoryTest, InvariantsHoldInRandomHistories) {
-  const TestOptions& options = GetTestOptions();
-  std::atomic<uint64_t> next = options.seed;
+/// Runs random histories of one kind on several threads.
+void RunHistories(uint64_t first_seed, uint64_t count, HistoryKind kind) {
+  std::atomic<uint64_t> next = first_seed;
   std::atomic<uint64_t> committed = 0;
   std::atomic<uint64_t> replaced = 0;
   std::atomic<uint64_t> reads = 0;
@@ -30,8 +27,8 @@
   for (int i = 0; i < kThreads; ++i) {
     threads.emplace_back([&] {
       uint64_t seed;
-      while ((seed = next++) < options.seed + options.histories) {
-        const HistoryResult result = RunHistory(seed, VirtualRules());
+      while ((seed = next++) < first_seed + count) {
+        const HistoryResult result = RunHistory(seed, VirtualRules(), kind);
         committed += result.committed;
         replaced += result.replaced_replicas;
         reads += result.reads;
@@ -47,14 +44,31 @@
     thread.join();
   }
   // Histories in which nothing happens would pass every check.
-  EXPECT_GT(committed, 10 * options.histories);
-  if (options.histories >= 100) {
-    EXPECT_GT(replaced, options.histories / 10);
-    EXPECT_GT(reads, options.histories / 10);
+  EXPECT_GT(committed, 10 * count);
+  if (count >= 100) {
+    EXPECT_GT(replaced, count / 10);
+    EXPECT_GT(reads, count / 10);
   }
   std::printf("histories=%lu committed=%lu replaced_replicas=%lu reads=%lu\n",
-              options.histories, committed.load(), replaced.load(),
-              reads.load());
+              count, committed.load(), replaced.load(), reads.load());
+}
+
+// Guards against any fault sequence that breaks a guarantee of the replicated
+// log or of the lease, or after which the group does not recover. The first
+// version of the log failed: it lost its log when a snapshot was created twice,
+// never committed after a restart of all VMs, and stopped sending to a follower
+// after a lost append.
+TEST(HistoryTest, InvariantsHoldInRandomHistories) {
+  const TestOptions& options = GetTestOptions();
+  RunHistories(options.seed, options.histories, HistoryKind::kListed);
+}
+
+// The same for groups that find their voters: joins, promotions, and voters
+// that are replaced because they were silent.
+TEST(HistoryTest, InvariantsHoldWhereVotersAreDiscovered) {
+  const TestOptions& options = GetTestOptions();
+  RunHistories(options.seed, options.histories / kDiscoveredPart,
+               HistoryKind::kDiscovered);
 }
 
 // Guards against a failing seed that cannot be repeated.
--- a/tests/unit/consensus/rule_test.cc
+++ b/tests/unit/consensus/rule_test.cc
@@ -12,6 +12,7 @@
   const char* name;
   bool VirtualRules::*rule;
   std::vector<std::string> violations;
+  HistoryKind kind = HistoryKind::kListed;
 };
 
 // Each case guards against invariants or histories that would not notice the
@@ -23,10 +24,12 @@
   VirtualRules rules;
   rules.*rule_case.rule = false;
   for (uint64_t seed = 1; seed <= 500; ++seed) {
-    const std::string violation = RunHistory(seed, rules).violation;
+    const std::string violation =
+        RunHistory(seed, rules, rule_case.kind).violation;
     for (const std::string& expected : rule_case.violations) {
       if (violation.find(expected) != std::string::npos) {
-        EXPECT_TRUE(RunHistory(seed, VirtualRules()).violation.empty());
+        EXPECT_TRUE(
+            RunHistory(seed, VirtualRules(), rule_case.kind).violation.empty());
         return;
       }
     }
@@ -56,7 +59,20 @@
         RuleCase{"SyncBeforeAcknowledge",
                  &VirtualRules::sync_before_acknowledge,
                  {"second vote in one term", "leader without a committed entry",
-                  "applied another entry"}}),
+                  "applied another entry"}},
+        RuleCase{"DiscoveredNewIdAfterLostDisk",
+                 &VirtualRules::new_id_after_lost_disk,
+                 {"vote of a replica that lost its state"},
+                 HistoryKind::kDiscovered},
+        RuleCase{"DiscoveredCheckQuorum",
+                 &VirtualRules::check_quorum,
+                 {"leads without contact to a quorum"},
+                 HistoryKind::kDiscovered},
+        RuleCase{"DiscoveredSyncBeforeAcknowledge",
+                 &VirtualRules::sync_before_acknowledge,
+                 {"second vote in one term", "leader without a committed entry",
+                  "applied another entry"},
+                 HistoryKind::kDiscovered}),
     [](const auto& info) { return std::string(info.param.name); });
 
 }  // namespace
--- /dev/null
+++ b/tests/unit/platform/document_fuzz_test.cc
@@ -0,0 +1,198 @@
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "gtest/gtest.h"
+#include "platform/registration.h"
+#include "platform/routing_document.h"
+#include "rapidcheck.h"
+
+// Documents that are almost right: one value replaced, a field removed, bytes
+// changed or cut off.
+namespace camphorsail::platform {
+namespace {
+
+using nlohmann::json;
+
+const char kDocument[] = R"({"version":7,"routes":[
+{"name":"r1","host":"h.example","pathPrefix":"/a/","kind":"streaming","timeoutMs":15000,"targetLatencyMs":2000,
+ "priority":2,"trafficSplit":[{"service":"m","weight":90},{"service":"s","weight":10}],"maxAttempts":2,
+ "public":false,"sticky":true,"resumable":true,"gapAimMs":800},
+{"name":"r2","host":"h.example","pathPrefix":"/b/","kind":"unsafe","timeoutMs":600,"service":"s"}],
+"services":[{"name":"m","healthPath":"/health","maxConnections":360,"engine":{"slots":64,"kvCapacityTokens":628662,
+"stride":5}},{"name":"s","healthPath":"/health","maxConnections":96}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+"tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1}]})";
+
+const char kRegistration[] =
+    R"({"service":"m","address":"10.0.0.1:80","zone":"z","version":"v1","slots":64,"state":"ready","sequence":3,
+"born":1700000000000,"models":[{"name":"x"}]})";
+
+/// @return The place of every value in a document.
+std::vector<json::json_pointer> Places(const json& root) {
+  std::vector<json::json_pointer> places;
+  const json flat = root.flatten();
+  for (const auto& [place, value] : flat.items()) {
+    json::json_pointer pointer(place);
+    while (!pointer.empty()) {
+      places.push_back(pointer);
+      pointer = pointer.parent_pointer();
+    }
+  }
+  return places;
+}
+
+json RandomValue() {
+  static const auto* const values =
+      new std::vector<json>{nullptr,
+                            true,
+                            0,
+                            -1,
+                            1,
+                            1.5,
+                            -0.0,
+                            1e300,
+                            std::numeric_limits<int64_t>::min(),
+                            std::numeric_limits<uint64_t>::max(),
+                            4294967296LL,
+                            "",
+                            "x",
+                            "\xc3\xa9\n\"",
+                            "/",
+                            json::array(),
+                            json::object(),
+                            json::array({1, "x", nullptr}),
+                            {{"name", "m"}},
+                            {{"version", 9}}};
+  return (*values)[*rc::gen::inRange<size_t>(0, values->size())];
+}
+
+/// @return The document with one place changed or removed, and its name.
+std::pair<std::string, std::string> Mutate(const char* document) {
+  json root = json::parse(document);
+  const std::vector<json::json_pointer> places = Places(root);
+  const json::json_pointer place =
+      places[*rc::gen::inRange<size_t>(0, places.size())];
+  std::string name = place.back();
+  if (*rc::gen::inRange(0, 3) == 0) {
+    json& parent = root[place.parent_pointer()];
+    if (parent.is_object()) {
+      parent.erase(place.back());
+    } else {
+      parent.erase(std::stoul(place.back()));
+    }
+  } else {
+    root[place] = RandomValue();
+  }
+  return {root.dump(-1, ' ', false, json::error_handler_t::replace), name};
+}
+
+/// @return The document with bytes changed, inserted or cut off.
+std::string Garble(std::string text) {
+  const int changes = *rc::gen::inRange(1, 6);
+  for (int i = 0; i < changes && !text.empty(); ++i) {
+    const size_t at = *rc::gen::inRange<size_t>(0, text.size());
+    switch (*rc::gen::inRange(0, 4)) {
+      case 0:
+        text.resize(at);
+        break;
+      case 1:
+        text.erase(at, *rc::gen::inRange<size_t>(1, 20));
+        break;
+      case 2:
+        text.insert(at, text.substr(0, *rc::gen::inRange<size_t>(1, 40)));
+        break;
+      default:
+        text[at] = *rc::gen::arbitrary<char>();
+    }
+  }
+  return text;
+}
+
+/// What holds for every table that is accepted.
+void CheckTable(const RoutingTable& table, const std::string& document) {
+  RC_ASSERT(table.Validate().has_value());
+  RC_ASSERT(table.document == document);
+  RC_ASSERT(table.version <= uint64_t{std::numeric_limits<int64_t>::max()});
+  for (const Route& route : table.routes) {
+    RC_ASSERT(route.timeout_ms > 0);
+    RC_ASSERT(!route.targets.empty());
+  }
+}
+
+// Against a document that is accepted in part, or ends the process. A version
+// of -1 was taken for the highest of all.
+TEST(DocumentFuzzTest, ChangedTablesAreReadInFullOrRefused) {
+  EXPECT_TRUE(rc::check([] {
+    const auto [document, name] = Mutate(kDocument);
+    const Expected<RoutingTable> table = ParseRoutingDocument(document);
+    if (table) {
+      CheckTable(*table, document);
+    } else {
+      RC_ASSERT(table.error().kind == ErrorKind::kSettingsInvalid);
+      RC_ASSERT(!table.error().message.empty());
+    }
+  }));
+}
+
+TEST(DocumentFuzzTest, GarbledTablesAreReadInFullOrRefused) {
+  EXPECT_TRUE(rc::check([] {
+    const std::string document = Garble(kDocument);
+    if (const auto table = ParseRoutingDocument(document)) {
+      CheckTable(*table, document);
+    }
+  }));
+}
+
+TEST(DocumentFuzzTest, RegistrationsAreReadInFullOrRefused) {
+  EXPECT_TRUE(rc::check([] {
+    const auto [body, name] = Mutate(kRegistration);
+    for (const std::string& text : {body, Garble(kRegistration)}) {
+      const Expected<ServerAnnouncement> read = ParseRegistration("i-1", text);
+      if (read) {
+        RC_ASSERT(read->description.capacity >= 1);
+        RC_ASSERT(!read->description.address.empty());
+        RC_ASSERT(read->description.targets.size() == 1U);
+      } else {
+        RC_ASSERT(!read.error().message.empty());
+      }
+    }
+  }));
+}
+
+// Against an operator who has to guess which field is wrong.
+TEST(DocumentFuzzTest, ErrorsNameTheField) {
+  const auto error = [](const char* place, const json& value) {
+    json root = json::parse(kDocument);
+    if (value.is_discarded()) {
+      const json::json_pointer pointer(place);
+      root[pointer.parent_pointer()].erase(pointer.back());
+    } else {
+      root[json::json_pointer(place)] = value;
+    }
+    const auto table = ParseRoutingDocument(root.dump());
+    return table ? std::string("accepted") : table.error().message;
+  };
+  const json removed(json::value_t::discarded);
+  EXPECT_EQ(error("/version", -1),
+            "version must be an integer from 0 to 9223372036854775807");
+  EXPECT_EQ(error("/version", 1.5),
+            "version must be an integer from 0 to 9223372036854775807");
+  EXPECT_EQ(error("/routes", removed), "routes is missing; it must be a list");
+  EXPECT_EQ(error("/routes", 3), "routes must be a list");
+  EXPECT_EQ(error("/routes/1", 3), "routes[1] must be an object");
+  EXPECT_EQ(error("/routes/1/host", removed),
+            "routes[1].host is missing; it must be a text");
+  EXPECT_EQ(error("/routes/0/trafficSplit/1/weight", "x"),
+            "routes[0].trafficSplit[1].weight must be a number");
+  EXPECT_EQ(error("/routes/0/public", 1),
+            "routes[0].public must be true or false");
+  EXPECT_EQ(error("/tenants/0/apiKeys/1", 5),
+            "tenants[0].apiKeys[1] must be a text");
+  EXPECT_EQ(error("/limits", "x"), "limits must be an object");
+  EXPECT_EQ(error("/tenants", nullptr), "accepted");
+  EXPECT_EQ(error("/version", 8.0), "accepted");
+}
+
+}  // namespace
+}  // namespace camphorsail::platform
