Lanes follow the demand of a large fleet sooner

Change: the time constant is that of 400 requests of all gateways, from 0.5 to 3 s; the demand carries the rate of requests.

Test: DemandMeterTest.

--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -57,6 +57,7 @@
   /// @param demand Work that arrives at all gateways.
   void SetFleetDemand(const LaneDemand& demand) {
     placement_.SetDemand(demand);
+    demand_.SetFleetRequests(demand.requests, loop_->now());
   }
 
   /// Reports not ready, and has each answer end its connection.
--- a/camphorsail/gateway/lane_demand.h
+++ b/camphorsail/gateway/lane_demand.h
@@ -11,14 +11,17 @@
   double quick = 0;
   /// All other streams.
   double bulk = 0;
+  /// Requests of both kinds per second, which tell how exact the sums are.
+  double requests = 0;
 
   LaneDemand& operator+=(const LaneDemand& other) {
     quick += other.quick;
     bulk += other.bulk;
+    requests += other.requests;
     return *this;
   }
 
-  MSGPACK_DEFINE(quick, bulk)
+  MSGPACK_DEFINE(quick, bulk, requests)
 };
 
 }  // namespace camphorsail
--- a/tests/unit/gateway/decisions_test.cc
+++ b/tests/unit/gateway/decisions_test.cc
@@ -3,6 +3,7 @@
 #include "camphorsail/base/fnv_hash.h"
 #include "camphorsail/gateway/attempt_health.h"
 #include "camphorsail/gateway/backend_server.h"
+#include "camphorsail/gateway/demand_meter.h"
 #include "camphorsail/gateway/event_stream.h"
 #include "camphorsail/gateway/placement.h"
 #include "camphorsail/gateway/refusal_outbox.h"
@@ -18,6 +19,37 @@
   return MonoTime() + absl::Seconds(1000 + seconds);
 }
 
+/// Feeds a steady flow of requests and returns the part of its rate that the
+/// meter shows after a time.
+double ShownPart(DemandMeter* meter, absl::Duration time) {
+  constexpr int kPerSecond = 100;
+  MonoTime now = MonoTime::FromNanos(1'000'000'000);
+  meter->Rate(now);
+  const int count = static_cast<int>(absl::ToDoubleSeconds(time) * kPerSecond);
+  for (int i = 0; i < count; ++i) {
+    now = now + absl::Seconds(1) / kPerSecond;
+    meter->Add(/*is_quick=*/true, 20, now);
+  }
+  return meter->Rate(now).quick / (20 * kPerSecond);
+}
+
+// Against lanes that follow a burst of a large fleet only when it is over, and
+// lanes of a small fleet that change by chance.
+TEST(DemandMeterTest, LargeFleetsAreMeasuredSooner) {
+  DemandMeter small;
+  small.SetFleetRequests(60, MonoTime::FromNanos(1));
+  EXPECT_DOUBLE_EQ(small.time_constant(), 3);
+  DemandMeter large;
+  large.SetFleetRequests(400, MonoTime::FromNanos(1));
+  EXPECT_DOUBLE_EQ(large.time_constant(), 1);
+  DemandMeter huge;
+  huge.SetFleetRequests(9000, MonoTime::FromNanos(1));
+  EXPECT_DOUBLE_EQ(huge.time_constant(), 0.5);
+  EXPECT_NEAR(ShownPart(&small, absl::Seconds(1)), 0.28, 0.02);
+  EXPECT_NEAR(ShownPart(&large, absl::Seconds(1)), 0.63, 0.02);
+  EXPECT_NEAR(ShownPart(&huge, absl::Seconds(1)), 0.86, 0.02);
+}
+
 TEST(TableLeaseTest, CountsFromTheTimeOfThePoll) {
   TableLease lease(absl::Seconds(4), 100);
   EXPECT_FALSE(lease.IsValid(At(0)));
