--- a/tests/unit/gateway/caller_connection_test.cc
+++ b/tests/unit/gateway/caller_connection_test.cc
@@ -88,6 +88,7 @@
 // Against a flood of connections that takes all descriptors and memory.
 TEST_F(CallerBudgetTest, ConnectionsBeyondTheBoundAreClosedAtOnce) {
   std::vector<RawSocket> sockets;
+  sockets.reserve(20);
   for (int i = 0; i < 20; ++i) {
     sockets.push_back(Connect());
   }
--- a/tests/unit/platform/document_fuzz_test.cc
+++ b/tests/unit/platform/document_fuzz_test.cc
@@ -6,6 +6,7 @@
 #include "platform/registration.h"
 #include "platform/routing_document.h"
 #include "rapidcheck.h"
+#include "tests/unit/platform/sample_document.h"
 
 // Documents that are almost right: one value replaced, a field removed, bytes
 // changed or cut off.
@@ -14,16 +15,6 @@
 
 using nlohmann::json;
 
-const char kDocument[] = R"({"version":7,"routes":[
-{"name":"r1","host":"h.example","pathPrefix":"/a/","kind":"streaming","timeoutMs":15000,"targetLatencyMs":2000,
- "priority":2,"trafficSplit":[{"service":"m","weight":90},{"service":"s","weight":10}],"maxAttempts":2,
- "public":false,"sticky":true,"resumable":true,"gapAimMs":800},
-{"name":"r2","host":"h.example","pathPrefix":"/b/","kind":"unsafe","timeoutMs":600,"service":"s"}],
-"services":[{"name":"m","healthPath":"/health","maxConnections":360,"engine":{"slots":64,"kvCapacityTokens":628662,
-"stride":5}},{"name":"s","healthPath":"/health","maxConnections":96}],
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-"tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1}]})";
-
 const char kRegistration[] =
     R"({"service":"m","address":"10.0.0.1:80","zone":"z","version":"v1","slots":64,"state":"ready","sequence":3,
 "born":1700000000000,"models":[{"name":"x"}]})";
