Histories keep their seeds; a finding of the histories is listed

Change: the order is as before; a seed with the highest bit draws in the other order, which keeps the finding and the seeds of the second group. The finding is a test of its own in KNOWN-RED.txt, with its check, bound and seed as they are.

Conclusion: the finding is not traced.

--- a/tests/unit/consensus/history.h
+++ b/tests/unit/consensus/history.h
@@ -17,6 +17,10 @@
   kDiscovered,
 };
 
+/// A seed with this bit draws the settings before the seed of the cluster,
+/// which gives another history. Some findings have such seeds.
+constexpr uint64_t kSettingsFirst = uint64_t{1} << 63;
+
 /// What one random history showed.
 struct HistoryResult {
   /// Empty when every invariant held.
--- a/tests/unit/consensus/history_test.cc
+++ b/tests/unit/consensus/history_test.cc
@@ -71,6 +71,12 @@
                HistoryKind::kDiscovered);
 }
 
+// In KNOWN-RED.txt: a term that starts although no quorum was heard from for
+// longer than the window of pre-votes. Seen once in 60,000 histories.
+TEST(FindingTest, TermNeedsContactToAQuorum) {
+  EXPECT_EQ(RunHistory(kSettingsFirst | 7804, VirtualRules()).violation, "");
+}
+
 // Guards against a failing seed that cannot be repeated.
 TEST(HistoryTest, SameSeedGivesSameHistory) {
   for (uint64_t seed = 1; seed <= 5; ++seed) {
