Gateway: one copy of header callbacks and of the sum of loads

Cause: both connections had the parser's header callbacks; GatewaySessions summed its sessions in two places; the housekeeping timer was a local struct that called itself; refusals that found no room were counted and never shown; a server's own failure was counted as a first answer after 0 s. Change: CollectHeaders, OwnLoad, Gateway::Housekeep; the gauge camphorsail_gateway_lost_refusals; the histogram of first answers takes answers only. Result: what is forwarded and decided is the same; two metrics are true.

--- a/camphorsail/gateway/backend_connection.cc
+++ b/camphorsail/gateway/backend_connection.cc
@@ -73,10 +73,8 @@
 
 const http_parser_settings& BackendConnection::ParserSettings() {
   static const http_parser_settings settings = [] {
-    http_parser_settings value;
-    http_parser_settings_init(&value);
-    value.on_header_field = &OnField;
-    value.on_header_value = &OnValue;
+    http_parser_settings value =
+        CollectHeaders<BackendConnection, &BackendConnection::collector_>();
     value.on_headers_complete = &OnHeadersComplete;
     value.on_body = &OnBody;
     value.on_message_complete = &OnMessageComplete;
@@ -85,20 +83,6 @@
   return settings;
 }
 
-int BackendConnection::OnField(http_parser* parser,
-                               const char* data,
-                               size_t size) {
-  Self(parser)->collector_.OnField(data, size);
-  return 0;
-}
-
-int BackendConnection::OnValue(http_parser* parser,
-                               const char* data,
-                               size_t size) {
-  Self(parser)->collector_.OnValue(data, size);
-  return 0;
-}
-
 int BackendConnection::OnHeadersComplete(http_parser* parser) {
   BackendConnection* self = Self(parser);
   HttpResponseHead head;
--- a/camphorsail/gateway/backend_connection.h
+++ b/camphorsail/gateway/backend_connection.h
@@ -52,8 +52,6 @@
 
  private:
   static const http_parser_settings& ParserSettings();
-  static int OnField(http_parser* parser, const char* data, size_t size);
-  static int OnValue(http_parser* parser, const char* data, size_t size);
   static int OnHeadersComplete(http_parser* parser);
   static int OnBody(http_parser* parser, const char* data, size_t size);
   static int OnMessageComplete(http_parser* parser);
--- a/camphorsail/gateway/caller_connection.cc
+++ b/camphorsail/gateway/caller_connection.cc
@@ -82,12 +82,10 @@
 
 const http_parser_settings& CallerConnection::ParserSettings() {
   static const http_parser_settings settings = [] {
-    http_parser_settings value;
-    http_parser_settings_init(&value);
+    http_parser_settings value =
+        CollectHeaders<CallerConnection, &CallerConnection::collector_>();
     value.on_message_begin = &OnMessageBegin;
     value.on_url = &OnUrl;
-    value.on_header_field = &OnField;
-    value.on_header_value = &OnValue;
     value.on_headers_complete = &OnHeadersComplete;
     value.on_body = &OnBody;
     value.on_message_complete = &OnMessageComplete;
@@ -114,20 +112,6 @@
   return 0;
 }
 
-int CallerConnection::OnField(http_parser* parser,
-                              const char* data,
-                              size_t size) {
-  Self(parser)->collector_.OnField(data, size);
-  return 0;
-}
-
-int CallerConnection::OnValue(http_parser* parser,
-                              const char* data,
-                              size_t size) {
-  Self(parser)->collector_.OnValue(data, size);
-  return 0;
-}
-
 int CallerConnection::OnHeadersComplete(http_parser* parser) {
   CallerConnection* self = Self(parser);
   HttpRequestHead& head = self->head_;
--- a/camphorsail/gateway/caller_connection.h
+++ b/camphorsail/gateway/caller_connection.h
@@ -67,8 +67,6 @@
   static const http_parser_settings& ParserSettings();
   static int OnMessageBegin(http_parser* parser);
   static int OnUrl(http_parser* parser, const char* data, size_t size);
-  static int OnField(http_parser* parser, const char* data, size_t size);
-  static int OnValue(http_parser* parser, const char* data, size_t size);
   static int OnHeadersComplete(http_parser* parser);
   static int OnBody(http_parser* parser, const char* data, size_t size);
   static int OnMessageComplete(http_parser* parser);
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -101,21 +101,16 @@
           .Add("message", metrics.error().message);
     }
   }
-  const std::function<void()> housekeeping = [this] { pool_.CloseIdle(); };
-  struct Repeat {
-    static void Run(EventLoop* loop,
-                    EventLoop::TimerId* timer,
-                    const std::function<void()>& task) {
-      *timer = loop->At(loop->now() + kHousekeeping, [loop, timer, task] {
-        task();
-        Run(loop, timer, task);
-      });
-    }
-  };
-  Repeat::Run(loop_, &housekeeping_, housekeeping);
+  Housekeep();
   return {};
 }
 
+void Gateway::Housekeep() {
+  pool_.CloseIdle();
+  housekeeping_ =
+      loop_->At(loop_->now() + kHousekeeping, [this] { Housekeep(); });
+}
+
 Expected<std::unique_ptr<CallerListener>> Gateway::MakeReadyListener(
     const NetworkAddress& address) {
   CallerHandlers handlers;
@@ -187,6 +182,7 @@
   state.callers = callers_->open_connections();
   state.held_bytes = callers_->held_bytes();
   state.turned_away = callers_->turned_away();
+  state.lost_refusals = refusals_.dropped();
   gauges_.Update(state, now);
   return metrics_->Render();
 }
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -1,7 +1,6 @@
 #ifndef CAMPHORSAIL_GATEWAY_GATEWAY_H_
 #define CAMPHORSAIL_GATEWAY_GATEWAY_H_
 
-#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -79,6 +78,8 @@
   void OnBadRequest(CallerConnection* caller, ErrorKind kind);
   /// Answers whether the gateway is ready, and `/metrics`.
   void OnReadyRequest(CallerConnection* caller, const std::string& target);
+  /// Closes idle connections to servers, again and again.
+  void Housekeep();
   /// @return The metrics as text, brought up to date.
   std::string RenderMetrics();
   Expected<std::unique_ptr<CallerListener>> MakeReadyListener(
--- a/camphorsail/gateway/gateway_gauges.cc
+++ b/camphorsail/gateway/gateway_gauges.cc
@@ -30,6 +30,10 @@
                          "Connections of callers that were closed at once for "
                          "lack of room.",
                          {});
+  lost_refusals_ = declare("camphorsail_gateway_lost_refusals",
+                           "Refusals that found no room on their way to the "
+                           "record of refused minutes.",
+                           {});
   servers_ = declare("camphorsail_gateway_servers",
                      "Servers that may get requests.", {"service"});
   suspended_ = declare("camphorsail_gateway_servers_suspended",
@@ -59,6 +63,7 @@
   metrics_->Set(callers_, {}, static_cast<double>(state.callers));
   metrics_->Set(held_bytes_, {}, static_cast<double>(state.held_bytes));
   metrics_->Set(turned_away_, {}, static_cast<double>(state.turned_away));
+  metrics_->Set(lost_refusals_, {}, static_cast<double>(state.lost_refusals));
   for (const ServiceGauges& service : state.services) {
     int suspended = 0;
     int own = 0;
--- a/camphorsail/gateway/gateway_gauges.h
+++ b/camphorsail/gateway/gateway_gauges.h
@@ -33,6 +33,8 @@
   size_t held_bytes = 0;
   /// Connections that were closed at once for lack of room.
   uint64_t turned_away = 0;
+  /// Refusals that found no room on their way to the record.
+  uint64_t lost_refusals = 0;
   std::vector<ServiceGauges> services;
 };
 
@@ -55,6 +57,7 @@
   MetricId callers_;
   MetricId held_bytes_;
   MetricId turned_away_;
+  MetricId lost_refusals_;
   MetricId servers_;
   MetricId suspended_;
   MetricId own_requests_;
--- a/camphorsail/gateway/gateway_journal.cc
+++ b/camphorsail/gateway/gateway_journal.cc
@@ -86,7 +86,11 @@
                                 int status,
                                 MonoTime now) {
   metrics_->Increment(requests_, {exchange.route->name, absl::StrCat(status)});
-  metrics_->Observe(first_answer_time_, {exchange.route->name}, exchange.wait);
+  // A server's own failure is no first answer.
+  if (exchange.wait > absl::ZeroDuration()) {
+    metrics_->Observe(first_answer_time_, {exchange.route->name},
+                      exchange.wait);
+  }
   metrics_->Observe(answer_time_, {exchange.route->name},
                     now - exchange.arrived_at);
   LogEvent event("request_answered");
--- a/camphorsail/gateway/http_parse.h
+++ b/camphorsail/gateway/http_parse.h
@@ -51,6 +51,27 @@
   HttpHeaders headers_;
 };
 
+/// @tparam Connection Type of the object that the parser's `data` points to.
+/// @tparam kCollector Its collector.
+/// @return Settings of a parser whose header callbacks fill the collector; the
+/// others are empty.
+template <typename Connection, HeaderCollector Connection::*kCollector>
+http_parser_settings CollectHeaders() {
+  http_parser_settings settings;
+  http_parser_settings_init(&settings);
+  settings.on_header_field = [](http_parser* parser, const char* data,
+                                size_t size) {
+    (static_cast<Connection*>(parser->data)->*kCollector).OnField(data, size);
+    return 0;
+  };
+  settings.on_header_value = [](http_parser* parser, const char* data,
+                                size_t size) {
+    (static_cast<Connection*>(parser->data)->*kCollector).OnValue(data, size);
+    return 0;
+  };
+  return settings;
+}
+
 /// @return True when every name is a token and no value has control characters,
 /// which the parser does not check in full.
 bool AreHeadersClean(const HttpHeaders& headers);
--- a/camphorsail/runtime/gateway_sessions.cc
+++ b/camphorsail/runtime/gateway_sessions.cc
@@ -54,12 +54,10 @@
   EngineLoadSum all;
   {
     absl::MutexLock lock(&mutex_);
-    RemoveExpired();
-    update.gateways = static_cast<uint32_t>(sessions_.size());
-    for (const auto& [vm, session] : sessions_) {
-      all.Add(session.loads);
-      update.demand += session.demand;
-    }
+    const GatewayGroupLoad own = OwnLoad();
+    update.gateways = own.gateways;
+    all.Add(own.loads);
+    update.demand = own.demand;
     for (const auto& [replica, group] : groups_) {
       update.gateways += group.load.gateways;
       all.Add(group.load.loads);
@@ -90,17 +88,21 @@
 }
 
 GatewayGroupLoad GatewaySessions::GroupLoad() {
-  EngineLoadSum sum;
-  GatewayGroupLoad result;
   absl::MutexLock lock(&mutex_);
+  return OwnLoad();
+}
+
+GatewayGroupLoad GatewaySessions::OwnLoad() {
   RemoveExpired();
-  result.gateways = static_cast<uint32_t>(sessions_.size());
+  EngineLoadSum sum;
+  GatewayGroupLoad own;
+  own.gateways = static_cast<uint32_t>(sessions_.size());
   for (const auto& [vm, session] : sessions_) {
     sum.Add(session.loads);
-    result.demand += session.demand;
+    own.demand += session.demand;
   }
-  result.loads = sum.Loads();
-  return result;
+  own.loads = sum.Loads();
+  return own;
 }
 
 void GatewaySessions::OnTable(const Ref<SharedRoutingTable>& table) {
--- a/camphorsail/runtime/gateway_sessions.h
+++ b/camphorsail/runtime/gateway_sessions.h
@@ -66,6 +66,8 @@
   void OnCurrent(const Polls& polls,
                  const Expected<void>& result,
                  const ControlNode& node);
+  /// @return What the gateways that poll this replica have and ask for.
+  GatewayGroupLoad OwnLoad() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void RemoveExpired() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
   const Hooks hooks_;
