--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -37,7 +37,7 @@
         self.is_cut = False
         self.sockets = []
         self.lock = threading.Lock()
-        self.listener = socket.create_server(listen, reuse_port=False)
+        self.listener = socket.create_server(listen, backlog=256, reuse_port=False)
         threading.Thread(target=self._accept, daemon=True).start()
 
     def cut(self):
@@ -79,14 +79,17 @@
                 continue
             with self.lock:
                 self.sockets += [client, server]
-            for a, b in ((client, server), (server, client)):
-                threading.Thread(target=self._pump, args=(a, b), daemon=True).start()
+            for a, b, way in ((client, server, "to"), (server, client, "from")):
+                threading.Thread(target=self._pump, args=(a, b, way), daemon=True).start()
 
-    @staticmethod
-    def _pump(source, sink):
+    def forward(self, sink, data, way):
+        """@param way "to" the target or "from" it; for relays that do more."""
+        sink.sendall(data)
+
+    def _pump(self, source, sink, way):
         try:
             while data := source.recv(65536):
-                sink.sendall(data)
+                self.forward(sink, data, way)
         except OSError:
             pass
         # The thread of the other direction ends too and closes its source.
--- a/tests/soak/gateway_soak.py
+++ b/tests/soak/gateway_soak.py
@@ -181,7 +181,7 @@
         elif fault in ("silence", "delay", "refuse"):
             proxy.silenced = rng.choice(["to", "from"]) if fault == "silence" else None
             proxy.delay_s = rng.uniform(0.01, 0.3) if fault == "delay" else 0.0
-            proxy.refusing = fault == "refuse"
+            proxy.is_cut = fault == "refuse"
             time.sleep(rng.uniform(0.5, 3))
             proxy.heal()
             proxy.reset_all()
--- a/tests/unit/gateway/backend_connection_test.cc
+++ b/tests/unit/gateway/backend_connection_test.cc
@@ -10,6 +10,8 @@
 namespace camphorsail {
 namespace {
 
+constexpr char kAnswer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
 /// What became of one request.
 struct Outcome {
   int status = 0;
@@ -54,19 +56,25 @@
     return driver_.RunUntil([&] { return outcome.is_over(); });
   }
 
+  /// Sends the first request and answers it.
+  /// @return True when both were seen.
+  bool ServeFirst(Outcome* outcome, const std::string& answer) {
+    Send(outcome);
+    if (!WaitForRequest("one")) {
+      return false;
+    }
+    server_.connection(0).Write(answer);
+    return WaitFor(*outcome);
+  }
+
   FakeServer server_;
   LoopDriver driver_;
   BackendPool pool_;
 };
 
-constexpr char kAnswer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-
 TEST_F(BackendConnectionTest, ReusesAConnection) {
   Outcome first;
-  Send(&first);
-  ASSERT_TRUE(WaitForRequest("one"));
-  server_.connection(0).Write(kAnswer);
-  ASSERT_TRUE(WaitFor(first));
+  ASSERT_TRUE(ServeFirst(&first, kAnswer));
   EXPECT_EQ(first.body, "ok");
   Outcome second;
   Send(&second, "two");
@@ -81,10 +89,7 @@
 // dies: the server may have run the request.
 TEST_F(BackendConnectionTest, NeverSendsARequestTwice) {
   Outcome first;
-  Send(&first);
-  ASSERT_TRUE(WaitForRequest("one"));
-  server_.connection(0).Write(kAnswer);
-  ASSERT_TRUE(WaitFor(first));
+  ASSERT_TRUE(ServeFirst(&first, kAnswer));
   Outcome second;
   Send(&second, "two");
   ASSERT_TRUE(WaitForRequest("two"));
@@ -99,10 +104,7 @@
 // Against a late answer that is taken for the next request's.
 TEST_F(BackendConnectionTest, BytesThatNobodyAskedForEndTheConnection) {
   Outcome first;
-  Send(&first);
-  ASSERT_TRUE(WaitForRequest("one"));
-  server_.connection(0).Write(std::string(kAnswer) + kAnswer);
-  ASSERT_TRUE(WaitFor(first));
+  ASSERT_TRUE(ServeFirst(&first, std::string(kAnswer) + kAnswer));
   EXPECT_EQ(first.body, "ok");
   Outcome second;
   Send(&second, "two");
--- a/tests/unit/gateway/gateway_test.cc
+++ b/tests/unit/gateway/gateway_test.cc
@@ -113,6 +113,11 @@
     return "HTTP/1.1 " + status + "\r\nX-Id: 42\r\n" + headers +
            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   }
+  /// @param signature Value of the server's signature.
+  static std::string StreamHead(const std::string& signature) {
+    return "HTTP/1.1 200 OK\r\nX-Id: 42\r\nX-Signature: " + signature +
+           "\r\nTransfer-Encoding: chunked\r\n\r\n";
+  }
   bool WaitFor(RawSocket* caller, const std::string& text) {
     return driver_.RunUntil([&] { return caller->Has(text); });
   }
@@ -217,19 +222,13 @@
   RawSocket caller = Call("/stream/x");
   RawSocket* first = NextAttempt();
   ASSERT_NE(first, nullptr);
-  first->Write(
-      "HTTP/1.1 200 OK\r\nX-Id: 42\r\nX-Signature: one\r\nTransfer-Encoding: "
-      "chunked\r\n\r\n"
-      "1c\r\nid: 0\ndata: a\n\nid: 1\ndata:\r\n");
+  first->Write(StreamHead("one") + "1c\r\nid: 0\ndata: a\n\nid: 1\ndata:\r\n");
   ASSERT_TRUE(WaitFor(&caller, "data: a\n\n"));
   first->Reset();
   RawSocket* second = NextAttempt();
   ASSERT_NE(second, nullptr);
   EXPECT_NE(last_request_.find("X-Last: 0\r\n"), std::string::npos);
-  second->Write(
-      "HTTP/1.1 200 OK\r\nX-Id: 42\r\nX-Signature: two\r\nTransfer-Encoding: "
-      "chunked\r\n\r\n"
-      "f\r\nid: 1\ndata: b\n\n\r\n0\r\n\r\n");
+  second->Write(StreamHead("two") + "f\r\nid: 1\ndata: b\n\n\r\n0\r\n\r\n");
   ASSERT_TRUE(WaitFor(&caller, "\r\n0\r\n\r\n"));
   EXPECT_TRUE(caller.Has("X-Signature: one"));
   EXPECT_FALSE(caller.Has("X-Signature: two"));
@@ -241,10 +240,7 @@
   RawSocket caller = Call("/once/x");
   RawSocket* server = NextAttempt();
   ASSERT_NE(server, nullptr);
-  server->Write(
-      "HTTP/1.1 200 OK\r\nX-Id: 42\r\nX-Signature: one\r\nTransfer-Encoding: "
-      "chunked\r\n\r\n"
-      "f\r\nid: 0\ndata: a\n\n\r\n");
+  server->Write(StreamHead("one") + "f\r\nid: 0\ndata: a\n\n\r\n");
   ASSERT_TRUE(WaitFor(&caller, "data: a\n\n"));
   server->Reset();
   EXPECT_TRUE(driver_.RunUntil([&] { return caller.HasEnded(); }));
@@ -259,10 +255,7 @@
     RawSocket caller = Call("/stream/x");
     RawSocket* first = NextAttempt();
     ASSERT_NE(first, nullptr);
-    first->Write(
-        "HTTP/1.1 200 OK\r\nX-Id: 42\r\nX-Signature: one\r\n"
-        "Transfer-Encoding: chunked\r\n\r\n"
-        "f\r\nid: 0\ndata: a\n\n\r\n");
+    first->Write(StreamHead("one") + "f\r\nid: 0\ndata: a\n\n\r\n");
     ASSERT_TRUE(WaitFor(&caller, "data: a\n\n"));
     first->Reset();
     RawSocket* second = NextAttempt();
