Placement: a folder of its own, learned speeds, costs in late requests

Cause: the gateway decided with one deployment's engine speeds, and by a fixed objective which streams count as interactive.

Change: what decides moves from gateway/ to placement/, which does no I/O. EngineModel learns prefill and step time and the step while reading from answers; ServiceModel splits the routes at the widest gap of prompt lengths; costs count late requests: the own wait, running streams that pause too long, requests that arrive meanwhile, and a ratio for reading again. Hot prefixes get homes by their rate. Load patterns are tests in tests/unit/placement.

--- a/camphorsail/gateway/backend_fleet.h
+++ b/camphorsail/gateway/backend_fleet.h
@@ -8,8 +8,8 @@
 #include "absl/container/flat_hash_map.h"
 #include "camphorsail/base/ids.h"
 #include "camphorsail/base/mono_time.h"
-#include "camphorsail/gateway/backend_server.h"
-#include "camphorsail/gateway/gateway_server_load.h"
+#include "camphorsail/placement/backend_server.h"
+#include "camphorsail/placement/gateway_server_load.h"
 #include "camphorsail/membership/server_registry.h"
 
 namespace camphorsail {
@@ -19,7 +19,7 @@
 /// thread-safe; used on the event loop's thread only.
 class BackendFleet {
  public:
-  using Servers = std::vector<Ref<BackendServer>>;
+  using Servers = BackendServers;
 
   /// Adds and removes servers as the registry has changed.
   /// @param changes The changes that were taken from `registry`.
--- a/camphorsail/gateway/caller_request.h
+++ b/camphorsail/gateway/caller_request.h
@@ -8,7 +8,7 @@
 
 #include "absl/time/time.h"
 #include "camphorsail/base/units.h"
-#include "camphorsail/gateway/prompt_part.h"
+#include "camphorsail/placement/prompt_part.h"
 
 namespace camphorsail {
 
--- a/camphorsail/gateway/exchange.h
+++ b/camphorsail/gateway/exchange.h
@@ -11,12 +11,12 @@
 #include "camphorsail/base/mono_time.h"
 #include "camphorsail/base/ref.h"
 #include "camphorsail/gateway/backend_connection.h"
-#include "camphorsail/gateway/backend_server.h"
+#include "camphorsail/placement/backend_server.h"
 #include "camphorsail/gateway/caller_connection.h"
 #include "camphorsail/gateway/caller_request.h"
 #include "camphorsail/gateway/event_stream.h"
 #include "camphorsail/gateway/http_heads.h"
-#include "camphorsail/gateway/placement.h"
+#include "camphorsail/placement/placement.h"
 #include "camphorsail/gateway/server_reply.h"
 #include "camphorsail/net/event_loop.h"
 #include "camphorsail/routing/route_index.h"
@@ -31,12 +31,17 @@
   /// `BackendServer::OnDispatch`.
   uint64_t number = 0;
   MonoTime started_at;
-  /// Expected prefill time, see `PlacementChoice`.
+  /// Expected prefill time and the prompt tokens that it is for, see
+  /// `PlacementChoice`.
   absl::Duration prefill;
+  double uncached_tokens = 0;
   /// Expected time to the start of the answer, see `PlacementChoice`.
   absl::Duration expected;
   /// Estimated requests of all gateways on the server at the start.
   double load = 0;
+  /// True when the server had no prompts to read and a free slot at the start,
+  /// as far as this gateway knows.
+  bool is_server_idle = false;
   /// Rank of the server for the prompt's prefix, see `PlacementChoice`.
   int prefix_rank = -1;
   /// Time from the start to the first event or to the whole answer.
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -17,18 +17,9 @@
 constexpr double kProgressTimeoutFactor = 2;
 constexpr absl::Duration kMinCallProgressTimeout = absl::Milliseconds(150);
 constexpr absl::Duration kMinStreamProgressTimeout = absl::Milliseconds(1000);
-/// Streams with a latency objective up to this value count as interactive. Long
-/// prompts on the same engine would delay them too much.
-constexpr int64_t kInteractiveObjectiveMs = 1000;
 /// Requests that arrive later than this after the start of a drain are refused,
 /// because they might not be complete when the process has to exit.
 constexpr absl::Duration kDrainAdmissionTime = absl::Milliseconds(2500);
-/// Assumed output tokens of a stream before any stream of its route has ended.
-constexpr double kInitialOutputTokens = 200;
-/// Assumed duration of a stream before any stream of its route has ended.
-constexpr double kInitialStreamSeconds = 1.5;
-/// Weight of one completed stream in the moving averages of its route.
-constexpr double kLengthWeight = 0.05;
 /// A request is refused when the best server is full and the start of the
 /// answer is expected later than this fraction of the latency objective,
 /// because a late answer has little value and delays other requests.
@@ -242,9 +233,7 @@
         exchange->deadline, [this, exchange] { OnDeadline(exchange); });
   }
   RetryBudgetOf(exchange->service->name).OnRequest(loop_->now());
-  if (exchange->service->is_engine) {
-    RecordDemand(*exchange);
-  }
+  RecordDemand(exchange);
   Dispatch(exchange);
 }
 
@@ -304,38 +293,47 @@
   placement.prompt_tokens = exchange->request.prompt_tokens;
   placement.prefixes = PromptPrefixes::Of(exchange->request.model,
                                           exchange->request.prompt_parts);
-  placement.is_interactive = route.kind == RouteKind::kStream &&
-                             route.objective_ms > 0 &&
-                             route.objective_ms <= kInteractiveObjectiveMs;
+  placement.objective = absl::Milliseconds(route.objective_ms);
+  placement.tokens_per_event = std::max(1, exchange->service->tokens_per_event);
   exchange->last_event = exchange->request.last_event;
   return {};
 }
 
-void Gateway::RecordDemand(const Exchange& exchange) {
-  const double tokens =
-      output_tokens_.try_emplace(exchange.route->name, kInitialOutputTokens)
-          .first->second;
-  demand_.Add(exchange.placement.is_interactive,
-              placement_.EngineWorkMs(exchange.placement, tokens,
-                                      std::max(1, exchange.service->slots)),
+ServiceModel& Gateway::ModelOf(const Exchange& exchange) {
+  return models_[exchange.service->name];
+}
+
+void Gateway::RecordDemand(Exchange* exchange) {
+  PlacementRequest& placement = exchange->placement;
+  const Route& route = *exchange->route;
+  ServiceModel& model = ModelOf(*exchange);
+  const auto prompt_tokens =
+      static_cast<double>(placement.prompt_tokens.value());
+  const double shared_tokens =
+      placement.prefixes.prefixes.empty()
+          ? 0
+          : static_cast<double>(
+                placement.prefixes.prefixes.back().tokens.value());
+  model.OnRequest(route, prompt_tokens, prompt_tokens - shared_tokens);
+  if (!exchange->service->is_engine) {
+    return;
+  }
+  placement.is_interactive = model.IsInteractive(route);
+  placement_.OnRequest(placement, loop_->now());
+  demand_.Add(placement.is_interactive,
+              Placement::EngineWorkMs(placement, model.engine(),
+                                      model.ProfileOf(route).output_tokens(),
+                                      std::max(1, exchange->service->slots)),
               loop_->now());
 }
 
-void Gateway::UpdateStreamAverages(const Exchange& exchange) {
+void Gateway::RecordStreamEnd(const Exchange& exchange) {
   const double tokens = static_cast<double>(exchange.events_sent) *
-                        std::max(1, exchange.service->tokens_per_event);
-  double& smoothed =
-      output_tokens_.try_emplace(exchange.route->name, kInitialOutputTokens)
-          .first->second;
-  smoothed += kLengthWeight * (tokens - smoothed);
-  double& seconds =
-      stream_seconds_.try_emplace(exchange.route->name, kInitialStreamSeconds)
-          .first->second;
-  seconds +=
-      kLengthWeight *
-      (absl::ToDoubleSeconds(loop_->now() - exchange.attempt->started_at -
-                             exchange.attempt->first) -
-       seconds);
+                        exchange.placement.tokens_per_event;
+  ModelOf(exchange)
+      .ProfileOf(*exchange.route)
+      .OnStreamEnd(tokens, loop_->now() - exchange.attempt->started_at -
+                               exchange.attempt->first);
 }
 
 void Gateway::Dispatch(Exchange* exchange) {
@@ -345,11 +343,12 @@
            "the gateway cannot confirm that its routing table is current");
     return;
   }
+  ServiceModel& model = ModelOf(*exchange);
   exchange->placement.slot_seconds =
-      stream_seconds_.try_emplace(exchange->route->name, kInitialStreamSeconds)
-          .first->second;
-  const PlacementChoice choice = placement_.Choose(
-      fleet_.ServersOf(exchange->service->name), exchange->placement, now);
+      model.ProfileOf(*exchange->route).stream_seconds();
+  const PlacementChoice choice =
+      placement_.Choose(fleet_.ServersOf(exchange->service->name),
+                        exchange->placement, model, now);
   if (!choice.server) {
     Refuse(exchange, ErrorKind::kNoBackendServer,
            "no backend server of the service is available");
@@ -368,9 +367,12 @@
   attempt.server = choice.server;
   attempt.started_at = now;
   attempt.prefill = choice.prefill;
+  attempt.uncached_tokens = choice.uncached_tokens;
   attempt.expected = choice.expected;
   attempt.prefix_rank = choice.prefix_rank;
   attempt.load = server.Load(now);
+  attempt.is_server_idle = server.PromptBacklog(now) <= absl::ZeroDuration() &&
+                           attempt.load < server.slots;
   attempt.number = server.OnDispatch(choice.prefill,
                                      exchange->placement.is_interactive, now);
   server.prefixes.Record(exchange->placement.prefixes, now);
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -10,15 +10,16 @@
 #include "camphorsail/gateway/backend_connection_pool.h"
 #include "camphorsail/gateway/backend_fleet.h"
 #include "camphorsail/gateway/caller_listener.h"
-#include "camphorsail/gateway/demand_meter.h"
 #include "camphorsail/gateway/exchange.h"
 #include "camphorsail/gateway/gateway_gauges.h"
 #include "camphorsail/gateway/gateway_settings.h"
 #include "camphorsail/gateway/gateway_telemetry.h"
-#include "camphorsail/gateway/placement.h"
 #include "camphorsail/gateway/refusal_outbox.h"
 #include "camphorsail/gateway/wire_dialect.h"
 #include "camphorsail/net/event_loop.h"
+#include "camphorsail/placement/demand_meter.h"
+#include "camphorsail/placement/placement.h"
+#include "camphorsail/placement/service_model.h"
 #include "camphorsail/routing/route_index.h"
 
 namespace camphorsail {
@@ -49,7 +50,10 @@
   /// servers before this time only.
   void SetLease(MonoTime valid_until) { lease_valid_until_ = valid_until; }
   /// @param count Number of gateways that share the servers, this one included.
-  void SetGatewayCount(int count) { gateway_count_ = count; }
+  void SetGatewayCount(int count) {
+    gateway_count_ = count;
+    placement_.SetGatewayCount(count);
+  }
   BackendFleet& fleet() { return fleet_; }
   RefusalOutbox& refusals() { return refusals_; }
   /// Limits retries by these settings from now on.
@@ -138,11 +142,14 @@
   void RecordFirstAnswer(Exchange* exchange);
   /// Forwards the complete events of a stream to the caller.
   void ForwardEvents(Exchange* exchange, std::string_view data);
-  /// Adds the expected work of a new request to the demand.
-  void RecordDemand(const Exchange& exchange);
+  /// Records a new request in the model of its service, and adds its expected
+  /// work to the demand.
+  void RecordDemand(Exchange* exchange);
   /// Updates the typical length and duration of the route's streams by a
   /// completed stream.
-  void UpdateStreamAverages(const Exchange& exchange);
+  void RecordStreamEnd(const Exchange& exchange);
+  /// @return What is known about the service of an exchange.
+  ServiceModel& ModelOf(const Exchange& exchange);
   /// Ends a failed attempt. Starts another one if this is allowed, and else
   /// refuses the request.
   /// @param failure Name of the failure for logs and metrics.
@@ -190,14 +197,7 @@
   Placement placement_;
   DemandMeter demand_;
   RefusalOutbox refusals_;
-  /// Moving average of the output tokens of a stream, by route.
-  absl::flat_hash_map<std::string, double> output_tokens_;
-  /// Moving average of the time for which a stream occupies a slot, in seconds,
-  /// by route.
-  absl::flat_hash_map<std::string, double> stream_seconds_;
-  /// Moving average of the time to the start of the answer, divided by the
-  /// expected time, by route.
-  absl::flat_hash_map<std::string, double> response_time_ratios_;
+  absl::flat_hash_map<ModelId, ServiceModel> models_;
   Random random_;
   /// The routing table in use; null until there is one.
   Ref<RouteIndex> index_;
--- a/camphorsail/gateway/gateway_answer.cc
+++ b/camphorsail/gateway/gateway_answer.cc
@@ -37,9 +37,9 @@
 /// Upper bound of both times, as a fraction of the time until the caller's
 /// deadline. Callers ignore a longer `Retry-After`.
 constexpr double kRetryAfterFraction = 0.3;
-/// Weight of one answer in the moving average of the ratio of actual to
-/// expected response time.
-constexpr double kRatioWeight = 0.02;
+/// Bounds of the ratio of actual to expected response time.
+constexpr double kMinResponseTimeRatio = 0.2;
+constexpr double kMaxResponseTimeRatio = 20;
 
 }  // namespace
 
@@ -87,16 +87,18 @@
   attempt.server->OnPromptDone(attempt.prefill, now);
   attempt.server->OnFirstAnswer(attempt.number, now);
   attempt.server->health.OnSuccess(now);
+  ServiceModel& model = ModelOf(*exchange);
+  if (attempt.is_server_idle && exchange->service->is_engine) {
+    model.engine().OnFirstEvent(attempt.uncached_tokens, attempt.first);
+  } else if (attempt.is_server_idle) {
+    model.engine().OnCall(attempt.first);
+  }
   if (attempt.expected > absl::ZeroDuration()) {
-    const double ratio = std::clamp(
-        absl::FDivDuration(attempt.first, attempt.expected), 0.2, 20.0);
-    // The estimate deviates in the same way for all servers. Only a deviation
-    // from the average of the route shows that this server is slow.
-    double& typical =
-        response_time_ratios_.try_emplace(exchange->route->name, ratio)
-            .first->second;
-    typical += kRatioWeight * (ratio - typical);
-    attempt.server->health.OnResponseTime(ratio / typical, now);
+    const double ratio =
+        std::clamp(absl::FDivDuration(attempt.first, attempt.expected),
+                   kMinResponseTimeRatio, kMaxResponseTimeRatio);
+    attempt.server->health.OnResponseTime(
+        model.ProfileOf(*exchange->route).RelativeResponseTime(ratio), now);
   }
 }
 
@@ -114,8 +116,12 @@
   }
   const MonoTime now = loop_->now();
   if (exchange->events_sent > 0) {
-    exchange->longest_pause =
-        std::max(exchange->longest_pause, now - exchange->events_at);
+    const absl::Duration pause = now - exchange->events_at;
+    exchange->longest_pause = std::max(exchange->longest_pause, pause);
+    ModelOf(*exchange).engine().OnGap(
+        static_cast<double>(attempt.events.count() - before) *
+            exchange->placement.tokens_per_event,
+        pause, attempt.server->PromptBacklog(now));
   }
   exchange->events_at = now;
   exchange->events_sent += attempt.events.count() - before;
@@ -173,7 +179,7 @@
       return;
     }
     telemetry_.OnAnswered(*exchange, status, loop_->now());
-    UpdateStreamAverages(*exchange);
+    RecordStreamEnd(*exchange);
     CallerConnection* caller = exchange->caller;
     Finish(exchange);
     caller->SendEnd();
--- a/camphorsail/gateway/gateway_poll.h
+++ b/camphorsail/gateway/gateway_poll.h
@@ -4,8 +4,8 @@
 #include <cstdint>
 #include <vector>
 
-#include "camphorsail/gateway/engine_demand.h"
-#include "camphorsail/gateway/gateway_server_load.h"
+#include "camphorsail/placement/engine_demand.h"
+#include "camphorsail/placement/gateway_server_load.h"
 #include "camphorsail/gateway/refusal_report.h"
 
 namespace camphorsail {
--- a/camphorsail/gateway/gateway_settings.h
+++ b/camphorsail/gateway/gateway_settings.h
@@ -6,8 +6,8 @@
 #include "camphorsail/base/network_address.h"
 #include "camphorsail/gateway/backend_connection_pool.h"
 #include "camphorsail/gateway/caller_budget.h"
-#include "camphorsail/gateway/gateway_retry_budget.h"
-#include "camphorsail/gateway/placement_settings.h"
+#include "camphorsail/placement/gateway_retry_budget.h"
+#include "camphorsail/placement/placement_settings.h"
 
 namespace camphorsail {
 
--- a/camphorsail/gateway/gateway_telemetry.cc
+++ b/camphorsail/gateway/gateway_telemetry.cc
@@ -77,10 +77,8 @@
       .Add("prefill_ms", absl::ToInt64Milliseconds(attempt.prefill))
       .Add("expected_ms", absl::ToInt64Milliseconds(attempt.expected))
       .Add("candidates", choice.candidates)
-      .Add("cost_ms", absl::ToInt64Milliseconds(choice.cost))
-      .Add("next_cost_ms", choice.candidates > 1
-                               ? absl::ToInt64Milliseconds(choice.next_cost)
-                               : -1);
+      .Add("cost", choice.cost)
+      .Add("next_cost", choice.candidates > 1 ? choice.next_cost : -1.0);
 }
 
 void GatewayTelemetry::OnAnswered(const Exchange& exchange,
--- a/camphorsail/gateway/gateway_telemetry.h
+++ b/camphorsail/gateway/gateway_telemetry.h
@@ -7,7 +7,7 @@
 #include "camphorsail/base/error_kind.h"
 #include "camphorsail/base/mono_time.h"
 #include "camphorsail/gateway/exchange.h"
-#include "camphorsail/gateway/placement.h"
+#include "camphorsail/placement/placement.h"
 #include "camphorsail/process/metrics.h"
 
 namespace camphorsail {
--- a/camphorsail/gateway/gateway_update.h
+++ b/camphorsail/gateway/gateway_update.h
@@ -6,8 +6,8 @@
 
 #include "camphorsail/base/ids.h"
 #include "camphorsail/base/msgpack_strong_id.h"
-#include "camphorsail/gateway/engine_demand.h"
-#include "camphorsail/gateway/gateway_server_load.h"
+#include "camphorsail/placement/engine_demand.h"
+#include "camphorsail/placement/gateway_server_load.h"
 #include "camphorsail/routing/routing_table.h"
 
 namespace camphorsail {
--- a/camphorsail/gateway/server_reply.h
+++ b/camphorsail/gateway/server_reply.h
@@ -4,17 +4,9 @@
 #include <optional>
 #include <string>
 
-namespace camphorsail {
+#include "camphorsail/placement/reported_load.h"
 
-/// Load that a server reports with an answer.
-struct ReportedLoad {
-  /// Requests that the server is running.
-  int running = 0;
-  /// Requests in the server's queue.
-  int waiting = 0;
-  /// Requests that the server can run at the same time.
-  int slots = 0;
-};
+namespace camphorsail {
 
 /// The information that the gateway reads from the headers of a server's
 /// answer.
--- a/camphorsail/gateway/attempt_health.cc
+++ b/camphorsail/placement/attempt_health.cc
@@ -1,4 +1,4 @@
-#include "camphorsail/gateway/attempt_health.h"
+#include "camphorsail/placement/attempt_health.h"
 
 #include <algorithm>
 #include <cmath>
--- a/camphorsail/gateway/attempt_health.h
+++ b/camphorsail/placement/attempt_health.h
@@ -1,5 +1,5 @@
-#ifndef CAMPHORSAIL_GATEWAY_ATTEMPT_HEALTH_H_
-#define CAMPHORSAIL_GATEWAY_ATTEMPT_HEALTH_H_
+#ifndef CAMPHORSAIL_PLACEMENT_ATTEMPT_HEALTH_H_
+#define CAMPHORSAIL_PLACEMENT_ATTEMPT_HEALTH_H_
 
 #include "absl/time/time.h"
 #include "camphorsail/base/mono_time.h"
@@ -54,4 +54,4 @@
 
 }  // namespace camphorsail
 
-#endif  // CAMPHORSAIL_GATEWAY_ATTEMPT_HEALTH_H_
+#endif  // CAMPHORSAIL_PLACEMENT_ATTEMPT_HEALTH_H_
--- a/camphorsail/gateway/backend_server.cc
+++ b/camphorsail/placement/backend_server.cc
@@ -1,4 +1,4 @@
-#include "camphorsail/gateway/backend_server.h"
+#include "camphorsail/placement/backend_server.h"
 
 #include <algorithm>
 
--- a/camphorsail/gateway/backend_server.h
+++ b/camphorsail/placement/backend_server.h
@@ -1,18 +1,19 @@
-#ifndef CAMPHORSAIL_GATEWAY_BACKEND_SERVER_H_
-#define CAMPHORSAIL_GATEWAY_BACKEND_SERVER_H_
+#ifndef CAMPHORSAIL_PLACEMENT_BACKEND_SERVER_H_
+#define CAMPHORSAIL_PLACEMENT_BACKEND_SERVER_H_
 
 #include <cstdint>
 #include <deque>
+#include <vector>
 
 #include "absl/time/time.h"
 #include "camphorsail/base/ids.h"
 #include "camphorsail/base/mono_time.h"
 #include "camphorsail/base/network_address.h"
 #include "camphorsail/base/ref.h"
-#include "camphorsail/gateway/attempt_health.h"
-#include "camphorsail/gateway/gateway_server_load.h"
-#include "camphorsail/gateway/recent_prefixes.h"
-#include "camphorsail/gateway/server_reply.h"
+#include "camphorsail/placement/attempt_health.h"
+#include "camphorsail/placement/gateway_server_load.h"
+#include "camphorsail/placement/recent_prefixes.h"
+#include "camphorsail/placement/reported_load.h"
 
 namespace camphorsail {
 
@@ -114,6 +115,9 @@
   MonoTime reading_since_;
 };
 
+/// Servers of one service.
+using BackendServers = std::vector<Ref<BackendServer>>;
+
 }  // namespace camphorsail
 
-#endif  // CAMPHORSAIL_GATEWAY_BACKEND_SERVER_H_
+#endif  // CAMPHORSAIL_PLACEMENT_BACKEND_SERVER_H_
--- a/camphorsail/gateway/demand_meter.h
+++ b/camphorsail/placement/demand_meter.h
@@ -1,12 +1,12 @@
-#ifndef CAMPHORSAIL_GATEWAY_DEMAND_METER_H_
-#define CAMPHORSAIL_GATEWAY_DEMAND_METER_H_
+#ifndef CAMPHORSAIL_PLACEMENT_DEMAND_METER_H_
+#define CAMPHORSAIL_PLACEMENT_DEMAND_METER_H_
 
 #include <algorithm>
 #include <cmath>
 
 #include "absl/time/time.h"
 #include "camphorsail/base/mono_time.h"
-#include "camphorsail/gateway/engine_demand.h"
+#include "camphorsail/placement/engine_demand.h"
 
 namespace camphorsail {
 
@@ -27,6 +27,7 @@
     (is_interactive ? rate_.interactive : rate_.bulk) +=
         work_ms / time_constant_;
     rate_.requests += 1 / time_constant_;
+    rate_.interactive_requests += is_interactive ? 1 / time_constant_ : 0;
   }
   /// @return Average work per second.
   EngineDemand Rate(MonoTime now) {
@@ -59,6 +60,7 @@
     rate_.interactive *= factor;
     rate_.bulk *= factor;
     rate_.requests *= factor;
+    rate_.interactive_requests *= factor;
     at_ = now;
   }
 
@@ -69,4 +71,4 @@
 
 }  // namespace camphorsail
 
-#endif  // CAMPHORSAIL_GATEWAY_DEMAND_METER_H_
+#endif  // CAMPHORSAIL_PLACEMENT_DEMAND_METER_H_
--- a/camphorsail/gateway/engine_demand.h
+++ b/camphorsail/placement/engine_demand.h
@@ -1,5 +1,5 @@
-#ifndef CAMPHORSAIL_GATEWAY_ENGINE_DEMAND_H_
-#define CAMPHORSAIL_GATEWAY_ENGINE_DEMAND_H_
+#ifndef CAMPHORSAIL_PLACEMENT_ENGINE_DEMAND_H_
+#define CAMPHORSAIL_PLACEMENT_ENGINE_DEMAND_H_
 
 #include "msgpack.hpp"
 
@@ -15,17 +15,20 @@
   /// Requests of both kinds per second; tells how accurate the other two values
   /// are.
   double requests = 0;
+  /// Those of `requests` that belong to the interactive lane.
+  double interactive_requests = 0;
 
   EngineDemand& operator+=(const EngineDemand& other) {
     interactive += other.interactive;
     bulk += other.bulk;
     requests += other.requests;
+    interactive_requests += other.interactive_requests;
     return *this;
   }
 
-  MSGPACK_DEFINE(interactive, bulk, requests)
+  MSGPACK_DEFINE(interactive, bulk, requests, interactive_requests)
 };
 
 }  // namespace camphorsail
 
-#endif  // CAMPHORSAIL_GATEWAY_ENGINE_DEMAND_H_
+#endif  // CAMPHORSAIL_PLACEMENT_ENGINE_DEMAND_H_
--- a/camphorsail/gateway/gateway_retry_budget.cc
+++ b/camphorsail/placement/gateway_retry_budget.cc
@@ -1,4 +1,4 @@
-#include "camphorsail/gateway/gateway_retry_budget.h"
+#include "camphorsail/placement/gateway_retry_budget.h"
 
 #include <algorithm>
 
--- a/camphorsail/gateway/prompt_part.h
+++ b/camphorsail/placement/prompt_part.h
@@ -1,5 +1,5 @@
-#ifndef CAMPHORSAIL_GATEWAY_PROMPT_PART_H_
-#define CAMPHORSAIL_GATEWAY_PROMPT_PART_H_
+#ifndef CAMPHORSAIL_PLACEMENT_PROMPT_PART_H_
+#define CAMPHORSAIL_PLACEMENT_PROMPT_PART_H_
 
 #include <cstdint>
 #include <string>
@@ -19,4 +19,4 @@
 
 }  // namespace camphorsail
 
-#endif  // CAMPHORSAIL_GATEWAY_PROMPT_PART_H_
+#endif  // CAMPHORSAIL_PLACEMENT_PROMPT_PART_H_
--- a/camphorsail/gateway/recent_prefixes.cc
+++ b/camphorsail/placement/recent_prefixes.cc
@@ -1,4 +1,4 @@
-#include "camphorsail/gateway/recent_prefixes.h"
+#include "camphorsail/placement/recent_prefixes.h"
 
 #include "camphorsail/base/fnv_hash.h"
 
--- a/camphorsail/gateway/recent_prefixes.h
+++ b/camphorsail/placement/recent_prefixes.h
@@ -1,5 +1,5 @@
-#ifndef CAMPHORSAIL_GATEWAY_RECENT_PREFIXES_H_
-#define CAMPHORSAIL_GATEWAY_RECENT_PREFIXES_H_
+#ifndef CAMPHORSAIL_PLACEMENT_RECENT_PREFIXES_H_
+#define CAMPHORSAIL_PLACEMENT_RECENT_PREFIXES_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -10,7 +10,7 @@
 #include "absl/time/time.h"
 #include "camphorsail/base/mono_time.h"
 #include "camphorsail/base/units.h"
-#include "camphorsail/gateway/prompt_part.h"
+#include "camphorsail/placement/prompt_part.h"
 
 namespace camphorsail {
 
@@ -54,4 +54,4 @@
 
 }  // namespace camphorsail
 
-#endif  // CAMPHORSAIL_GATEWAY_RECENT_PREFIXES_H_
+#endif  // CAMPHORSAIL_PLACEMENT_RECENT_PREFIXES_H_
--- a/camphorsail/process/log_schema.h
+++ b/camphorsail/process/log_schema.h
@@ -190,7 +190,7 @@
      "Hybrid clock: microseconds since 1970 and a counter; orders the lines of "
      "all processes. Left out when it equals `time`."},
     {"code", "Code of the error table."},
-    {"cost_ms", "Estimated cost of the chosen server."},
+    {"cost", "Estimated cost of the chosen server, in late requests."},
     {"counter", "Counter of a fencing token."},
     {"edits", "Edits of a change."},
     {"elapsed_ms", "Time since the request arrived."},
@@ -223,7 +223,7 @@
     {"minutes_recorded", "Whether the last refused minutes were recorded."},
     {"needs_restart", "Changed settings that apply at the next start."},
     {"next", "Next step after a failed attempt: retry, resume or give_up."},
-    {"next_cost_ms",
+    {"next_cost",
      "Estimated cost of the second best server; -1 when there "
      "is none."},
     {"not_logged",
--- /dev/null
+++ b/tests/unit/placement/server_state_test.cc
@@ -0,0 +1,130 @@
+#include "camphorsail/placement/attempt_health.h"
+#include "camphorsail/placement/backend_server.h"
+#include "camphorsail/placement/demand_meter.h"
+#include "camphorsail/placement/gateway_retry_budget.h"
+#include "gtest/gtest.h"
+
+// Tests of what a gateway keeps about servers, demand and retries.
+namespace camphorsail {
+namespace {
+
+MonoTime At(double seconds) {
+  return MonoTime() + absl::Seconds(1000 + seconds);
+}
+
+/// Feeds the meter a constant rate of requests.
+/// @return The measured rate after `time`, as a fraction of the actual rate.
+double MeasuredFraction(DemandMeter* meter, absl::Duration time) {
+  constexpr int kPerSecond = 100;
+  MonoTime now = MonoTime::FromNanos(1'000'000'000);
+  meter->Rate(now);
+  const int count = static_cast<int>(absl::ToDoubleSeconds(time) * kPerSecond);
+  for (int i = 0; i < count; ++i) {
+    now = now + absl::Seconds(1) / kPerSecond;
+    meter->Add(/*is_interactive=*/true, 20, now);
+  }
+  return meter->Rate(now).interactive / (20 * kPerSecond);
+}
+
+// With one time constant for all fleets, the lanes of a large fleet would
+// follow a burst only when it is over, or those of a small fleet would change
+// by chance.
+TEST(DemandMeterTest, LargeFleetsUseAShorterTimeConstant) {
+  DemandMeter small;
+  small.SetTotalRequests(60, MonoTime::FromNanos(1));
+  EXPECT_DOUBLE_EQ(small.time_constant(), 3);
+  DemandMeter large;
+  large.SetTotalRequests(400, MonoTime::FromNanos(1));
+  EXPECT_DOUBLE_EQ(large.time_constant(), 1);
+  DemandMeter huge;
+  huge.SetTotalRequests(9000, MonoTime::FromNanos(1));
+  EXPECT_DOUBLE_EQ(huge.time_constant(), 0.5);
+  EXPECT_NEAR(MeasuredFraction(&small, absl::Seconds(1)), 0.28, 0.02);
+  EXPECT_NEAR(MeasuredFraction(&large, absl::Seconds(1)), 0.63, 0.02);
+  EXPECT_NEAR(MeasuredFraction(&huge, absl::Seconds(1)), 0.86, 0.02);
+}
+
+TEST(GatewayRetryBudgetTest, BoundsRetriesInEveryWindow) {
+  GatewayRetryBudgetSettings settings;
+  settings.ratio = 0.2;
+  settings.slack = 40;
+  settings.used_fraction = 1;
+  GatewayRetryBudget budget(settings);
+  for (int i = 0; i < 50; ++i) {
+    budget.OnRequest(At(0));
+  }
+  int allowed = 0;
+  while (budget.TryRetry(/*gateways=*/4, At(0))) {
+    ++allowed;
+  }
+  EXPECT_EQ(allowed, 20);
+  EXPECT_FALSE(budget.TryRetry(4, At(9)));
+  EXPECT_TRUE(budget.TryRetry(4, At(10.1)));
+}
+
+TEST(AttemptHealthTest, SuspendsAfterFailuresAndTriesAgain) {
+  AttemptHealth health;
+  health.OnUnreachable(At(0));
+  EXPECT_FALSE(health.AcceptsRequests(At(0.1)));
+  EXPECT_TRUE(health.AcceptsRequests(At(0.6)));
+  health.OnUnreachable(At(0.6));
+  EXPECT_FALSE(health.AcceptsRequests(At(1.5)));
+  health.OnSuccess(At(2));
+  EXPECT_TRUE(health.AcceptsRequests(At(2)));
+}
+
+// A server that fails only some of its requests is not suspended, but has a
+// higher failure rate, which raises its cost.
+TEST(AttemptHealthTest, FailureRateFollowsTheAttempts) {
+  AttemptHealth health;
+  for (int i = 0; i < 40; ++i) {
+    health.OnSuccess(At(i * 0.01));
+    health.OnFailure(At(i * 0.01));
+  }
+  EXPECT_TRUE(health.AcceptsRequests(At(0.5)));
+  EXPECT_GT(health.FailureRate(At(0.5)), 0.3);
+  EXPECT_LT(health.FailureRate(At(30)), 0.01);
+}
+
+TEST(BackendServerTest, RequestIsStuckWhenLaterOnesAreAnswered) {
+  BackendServer server;
+  server.slots = 1;
+  const uint64_t first = server.OnDispatch(absl::ZeroDuration(), true, At(0));
+  EXPECT_TRUE(server.IsStuck(first, At(0), At(0)));
+  for (int i = 1; i <= 3; ++i) {
+    const uint64_t later = server.OnDispatch(absl::ZeroDuration(), true, At(i));
+    server.OnFirstAnswer(later, At(i + 0.1));
+  }
+  EXPECT_FALSE(server.IsStuck(first, At(0), At(4)));
+  server.OnFirstAnswer(server.OnDispatch(absl::ZeroDuration(), true, At(4)),
+                       At(4.1));
+  EXPECT_TRUE(server.IsStuck(first, At(0), At(4.2)));
+}
+
+// Guards against a request that waits until its caller's deadline although its
+// answer was lost and the server has gone on to answer other requests.
+TEST(BackendServerTest, RequestIsStuckWhenTheServerIsNotBusy) {
+  BackendServer server;
+  server.slots = 8;
+  const uint64_t first = server.OnDispatch(absl::ZeroDuration(), true, At(0));
+  server.OnFirstAnswer(server.OnDispatch(absl::ZeroDuration(), true, At(1)),
+                       At(1.1));
+  EXPECT_TRUE(server.IsStuck(first, At(0), At(4)));
+  server.OnOtherGatewaysLoad({0, 9, 0}, At(4));
+  EXPECT_FALSE(server.IsStuck(first, At(0), At(4)));
+  server.OnOtherGatewaysLoad({0, 2, 2000}, At(4));
+  EXPECT_FALSE(server.IsStuck(first, At(0), At(4)));
+}
+
+TEST(BackendServerTest, FreshSharedLoadTakesPrecedenceOverReports) {
+  BackendServer server;
+  server.OnReport({20, 5, 32}, At(0));
+  EXPECT_EQ(server.OtherGatewaysLoad(At(0)), 25);
+  server.OnOtherGatewaysLoad({0, 3, 100}, At(0));
+  EXPECT_EQ(server.OtherGatewaysLoad(At(0)), 3);
+  EXPECT_EQ(server.PromptBacklog(At(0.04)), absl::Milliseconds(60));
+  EXPECT_GT(server.OtherGatewaysLoad(At(1.6)), 3);
+}
+
+}  // namespace
+}  // namespace camphorsail
