Routing: gateways get changes of the table, not the table

Cause: each version of the routing table was sent whole to every gateway, with the operators' document beside the parsed routes, and again with each poll that was sent before it had arrived.

Change: RoutingTableDelta and RoutingHistory; replicas send the deltas since the gateway's version, a whole table without its document only to newcomers, and nothing that is still on its way. A digest of the result makes a gateway ask for the whole table when a delta does not fit.

Settings that the platform fills in are read as decimals; the test renders both templates over legal values and failed on (retry-slack, memory limit, descriptor limit, drain timeout).

--- a/camphorsail/gateway/gateway_update.h
+++ b/camphorsail/gateway/gateway_update.h
@@ -9,6 +9,7 @@
 #include "camphorsail/placement/engine_demand.h"
 #include "camphorsail/placement/gateway_server_load.h"
 #include "camphorsail/routing/routing_table.h"
+#include "camphorsail/routing/routing_table_delta.h"
 
 namespace camphorsail {
 
@@ -23,8 +24,8 @@
   bool confirmed = false;
   /// Version of the current routing table.
   uint64_t table_version = 0;
-  /// The current table; empty when the gateway already has this version. Never
-  /// contains more than one table.
+  /// The current table without its document, for a gateway whose table is too
+  /// old for `deltas`; otherwise empty. Never contains more than one table.
   std::vector<RoutingTable> table;
   /// VMs on which a replica runs.
   std::vector<VmId> replicas;
@@ -34,6 +35,9 @@
   std::vector<GatewayServerLoad> loads;
   /// Total demand at all gateways.
   EngineDemand demand;
+  /// The deltas that lead from the gateway's table to the current one, in their
+  /// order.
+  std::vector<RoutingTableDelta> deltas;
 
   MSGPACK_DEFINE(token,
                  confirmed,
@@ -42,7 +46,8 @@
                  replicas,
                  gateways,
                  loads,
-                 demand)
+                 demand,
+                 deltas)
 };
 
 }  // namespace camphorsail
--- a/camphorsail/process/log_schema.h
+++ b/camphorsail/process/log_schema.h
@@ -96,6 +96,9 @@
     // Routing table and settings tree.
     {"routing_in_force", LogVolume::kEveryLine,
      "The process now uses this routing table."},
+    {"routing_delta_refused", LogVolume::kBounded,
+     "A change of the routing table does not fit this gateway's table; the "
+     "whole table is requested."},
     {"routing_accepted", LogVolume::kBounded,
      "An operator's routing table was committed."},
     {"routing_refused", LogVolume::kBounded,
--- a/camphorsail/process/option_spec.cc
+++ b/camphorsail/process/option_spec.cc
@@ -59,6 +59,33 @@
          *value <= max;
 }
 
+/// Like `IntegerOption`, for a number that may have decimals.
+/// @param set Stores the number in its type and unit.
+OptionSpec DecimalOption(std::string name,
+                         double default_value,
+                         double min,
+                         double max,
+                         std::string help,
+                         std::function<void(double, Options*)> set) {
+  return {
+      std::move(name), absl::StrCat(default_value),
+      absl::StrCat("a number from ", min, " to ", max), std::move(help),
+      [min, max, set = std::move(set)](const std::string& text,
+                                       Options* options) {
+        double value = 0;
+        // SimpleAtod accepts surrounding spaces, signs and names such as
+        // "nan", which are not allowed here.
+        if (text.empty() ||
+            text.find_first_not_of("0123456789.eE-+") != std::string::npos ||
+            !absl::SimpleAtod(text, &value) || !(value >= min) ||
+            !(value <= max)) {
+          return false;
+        }
+        set(value, options);
+        return true;
+      }};
+}
+
 /// @param set Stores the number in its type and unit.
 OptionSpec IntegerOption(std::string name,
                          int64_t default_value,
@@ -152,11 +179,6 @@
   return true;
 }
 
-bool StoreRatio(const std::string& text, Options* options) {
-  return absl::SimpleAtod(text, &options->retry_ratio) &&
-         options->retry_ratio >= 0 && options->retry_ratio <= 1;
-}
-
 bool StoreRoles(const std::string& text, Options* options) {
   Roles roles;
   for (const std::string& role :
@@ -206,6 +228,8 @@
   return false;
 }
 
+constexpr double kBytesPerMiB = 1 << 20;
+
 const char kNameForm[] =
     "1 to 63 characters of A-Z, a-z, 0-9, '-', '_' and '.'";
 
@@ -269,20 +293,22 @@
                         [](int64_t value, Options* options) {
                           options->gateway_lease = absl::Milliseconds(value);
                         })),
-      Reloadable({"retry-ratio", "0.1", "a number from 0 to 1",
-                  "Retries that all gateways together may send to a service, "
-                  "as a fraction of its requests.",
-                  StoreRatio}),
-      Reloadable(IntegerOption("retry-slack", 10, 0, 100000,
+      Reloadable(DecimalOption("retry-ratio", 0.1, 0, 1,
+                               "Retries that all gateways together may send "
+                               "to a service, as a fraction of its requests.",
+                               [](double value, Options* options) {
+                                 options->retry_ratio = value;
+                               })),
+      Reloadable(DecimalOption("retry-slack", 10, 0, 100000,
                                "Retries to a service that are allowed per "
                                "retry window in addition to retry-ratio.",
-                               [](int64_t value, Options* options) {
-                                 options->retry_slack = static_cast<int>(value);
+                               [](double value, Options* options) {
+                                 options->retry_slack = value;
                                })),
-      Reloadable(IntegerOption("retry-window-s", 10, 1, 600,
+      Reloadable(DecimalOption("retry-window-s", 10, 0.1, 600,
                                "Length in seconds of the retry window, in "
                                "which retries are counted.",
-                               [](int64_t value, Options* options) {
+                               [](double value, Options* options) {
                                  options->retry_window = absl::Seconds(value);
                                })),
       IntegerOption("initial-voters", 0, 0, kMaxInitialVoters,
@@ -322,18 +348,19 @@
           "Additional address that serves /metrics; the daemon runs without it "
           "when the address cannot be used.",
           &Options::metrics_listen),
-      IntegerOption(
+      DecimalOption(
           "memory-limit-mb", 0, 0, 1 << 20,
           "Memory that this process may use, in MiB; 0 for no limit. A gateway "
           "rejects new connections of callers before it uses half of it.",
-          [](int64_t value, Options* options) {
-            options->memory_limit_bytes = static_cast<size_t>(value) << 20;
+          [](double value, Options* options) {
+            options->memory_limit_bytes =
+                static_cast<size_t>(value * kBytesPerMiB);
           }),
-      IntegerOption("descriptor-limit", 0, 0, 1 << 20,
+      DecimalOption("descriptor-limit", 0, 0, 1 << 20,
                     "File descriptors that this process may use; 0 for no "
                     "limit. A gateway rejects new connections of callers "
                     "before it uses half of them.",
-                    [](int64_t value, Options* options) {
+                    [](double value, Options* options) {
                       options->descriptor_limit = static_cast<int>(value);
                     }),
       IntegerOption("max-body-bytes", 4 << 20, 1 << 10, 64 << 20,
@@ -357,10 +384,10 @@
                     [](int64_t value, Options* options) {
                       options->body_timeout = absl::Milliseconds(value);
                     }),
-      Reloadable(IntegerOption("drain-timeout-s", 60, 1, 3600,
+      Reloadable(DecimalOption("drain-timeout-s", 60, 1, 3600,
                                "Seconds that requests in progress have to "
                                "finish after SIGTERM.",
-                               [](int64_t value, Options* options) {
+                               [](double value, Options* options) {
                                  options->drain_timeout = absl::Seconds(value);
                                })),
       Reloadable(
--- a/camphorsail/process/options.h
+++ b/camphorsail/process/options.h
@@ -69,7 +69,7 @@
   /// In any window of length `retry_window`, all gateways together may send a
   /// service `retry_ratio` times its requests plus `retry_slack` as retries.
   double retry_ratio = 0;
-  int retry_slack = 0;
+  double retry_slack = 0;
   absl::Duration retry_window;
   /// The other daemons; does not contain `vm`.
   std::vector<PeerAddress> peers;
--- a/camphorsail/runtime/gateway_daemon.cc
+++ b/camphorsail/runtime/gateway_daemon.cc
@@ -268,10 +268,7 @@
 }
 
 void GatewayDaemon::OnUpdate(const VmId& from, const GatewayUpdate& update) {
-  if (!update.table.empty() && update.table.front().version > table_version_) {
-    table_version_ = update.table.front().version;
-    gateway_.SetTable(MakeRef<SharedRoutingTable>(update.table.front()));
-  }
+  TakeTable(update);
   if (!update.replicas.empty()) {
     UpdateReplicas(update.replicas);
     gateway_.SetGatewayCount(static_cast<int>(update.gateways));
@@ -292,6 +289,37 @@
   }
 }
 
+void GatewayDaemon::TakeTable(const GatewayUpdate& update) {
+  Ref<SharedRoutingTable> table = table_;
+  if (!update.table.empty() && update.table.front().version > table_version_) {
+    table = MakeRef<SharedRoutingTable>(update.table.front());
+  }
+  for (const RoutingTableDelta& delta : update.deltas) {
+    if (!table || delta.base_version != table->table.version) {
+      // Already applied, or sent for a table that did not arrive; the next poll
+      // tells the replica which table this gateway has.
+      continue;
+    }
+    Expected<RoutingTable> next = delta.ApplyTo(table->table);
+    if (!next) {
+      LogEvent("routing_delta_refused", LogLevel::kError)
+          .Add("table_version", table_version_)
+          .Add("version", delta.version)
+          .Add("message", next.error().message);
+      // Asks for the whole table. The current one stays in use for as long as
+      // its lease is valid.
+      table_version_ = 0;
+      return;
+    }
+    table = MakeRef<SharedRoutingTable>(*std::move(next));
+  }
+  if (table && table != table_) {
+    table_ = table;
+    table_version_ = table->table.version;
+    gateway_.SetTable(table);
+  }
+}
+
 void GatewayDaemon::OnSignal(int signal) {
   if (signal == SIGHUP) {
     Reload();
--- a/camphorsail/runtime/gateway_daemon.h
+++ b/camphorsail/runtime/gateway_daemon.h
@@ -44,6 +44,8 @@
   Expected<void> Start();
   void OnPeerMessage(const VmId& from, const PeerMessage& message);
   void OnUpdate(const VmId& from, const GatewayUpdate& update);
+  /// Takes the table, or the changes of the table, of an update.
+  void TakeTable(const GatewayUpdate& update);
   void OnSignal(int signal);
   void Reload();
   /// Asks a replica to confirm the routing table.
@@ -69,6 +71,10 @@
   SignalWatcher* signals_ = nullptr;
   const SettingsReloader* reloader_ = nullptr;
 
+  /// The routing table in use; null until there is one.
+  Ref<SharedRoutingTable> table_;
+  /// Version that is reported to the replicas: that of `table_`, or 0 when the
+  /// whole table is needed.
   uint64_t table_version_ = 0;
   /// In order of preference, which differs between gateways.
   std::vector<VmId> replicas_;
--- a/camphorsail/runtime/gateway_sessions.cc
+++ b/camphorsail/runtime/gateway_sessions.cc
@@ -6,11 +6,23 @@
 #include "camphorsail/process/log_event.h"
 
 namespace camphorsail {
+namespace {
+
+/// The bits of a poll's token above these identify the start of the gateway's
+/// process.
+constexpr int kProcessShift = 32;
+
+}  // namespace
 
 void GatewaySessions::OnPoll(const VmId& from, const GatewayPoll& poll) {
   {
     absl::MutexLock lock(&mutex_);
     Session& session = sessions_[from];
+    if (const uint64_t process = poll.token >> kProcessShift;
+        session.process != process) {
+      session = Session();
+      session.process = process;
+    }
     session.polled_at = hooks_.now();
     session.table_version = poll.table_version;
     session.loads = poll.loads;
@@ -44,16 +56,17 @@
 void GatewaySessions::OnCurrent(const Polls& polls,
                                 const Expected<void>& result,
                                 const ControlNode& node) {
-  const RoutingTable& table = node.state().routing()->table;
+  const Ref<SharedRoutingTable>& table = node.state().routing();
   GatewayUpdate update;
   update.confirmed = result.has_value();
-  update.table_version = table.version;
+  update.table_version = table->table.version;
   for (const Member& member : node.replica().CurrentMembership().members) {
     update.replicas.push_back(member.vm);
   }
   GatewayServerLoadSum all;
   {
     absl::MutexLock lock(&mutex_);
+    history_.OnTable(table);
     const GatewayGroupLoad own = OwnLoad();
     update.gateways = own.gateways;
     all.Add(own.loads);
@@ -75,8 +88,12 @@
     GatewayServerLoadSum others = all;
     others.Subtract(poll.loads);
     answer.loads = others.Loads();
-    if (poll.table_version < table.version) {
-      answer.table.push_back(table);
+    {
+      absl::MutexLock lock(&mutex_);
+      const auto session = sessions_.find(gateway);
+      if (session != sessions_.end()) {
+        AddTable(&session->second, &answer);
+      }
     }
     hooks_.send(gateway, answer);
   }
@@ -106,25 +123,46 @@
 }
 
 void GatewaySessions::OnTable(const Ref<SharedRoutingTable>& table) {
-  std::vector<VmId> gateways;
+  std::vector<std::pair<VmId, GatewayUpdate>> updates;
   {
     absl::MutexLock lock(&mutex_);
+    history_.OnTable(table);
     RemoveExpired();
     for (auto& [vm, session] : sessions_) {
-      if (session.table_version < table->table.version) {
-        session.table_version = table->table.version;
-        gateways.push_back(vm);
+      GatewayUpdate update;
+      update.table_version = history_.version();
+      if (AddTable(&session, &update)) {
+        updates.emplace_back(vm, std::move(update));
       }
     }
   }
-  GatewayUpdate update;
-  update.table_version = table->table.version;
-  update.table.push_back(table->table);
-  for (const VmId& gateway : gateways) {
+  for (const auto& [gateway, update] : updates) {
     hooks_.send(gateway, update);
   }
 }
 
+bool GatewaySessions::AddTable(Session* session, GatewayUpdate* update) {
+  const uint64_t current = history_.version();
+  const MonoTime now = hooks_.now();
+  const bool on_its_way = session->sent_base == session->table_version &&
+                          now - session->sent_at < kTableResendInterval;
+  // What was sent last arrives before what is sent now.
+  const uint64_t base =
+      on_its_way ? session->sent_version : session->table_version;
+  if (base >= current) {
+    return false;
+  }
+  if (auto deltas = history_.DeltasSince(base)) {
+    update->deltas = *std::move(deltas);
+  } else {
+    update->table.push_back(history_.TableForGateway());
+  }
+  session->sent_version = current;
+  session->sent_base = session->table_version;
+  session->sent_at = now;
+  return true;
+}
+
 void GatewaySessions::RemoveExpired() {
   const MonoTime oldest = hooks_.now() - kSessionLifetime;
   std::erase_if(sessions_, [&](const auto& item) {
--- a/camphorsail/runtime/gateway_sessions.h
+++ b/camphorsail/runtime/gateway_sessions.h
@@ -14,13 +14,14 @@
 #include "camphorsail/gateway/gateway_group_load.h"
 #include "camphorsail/gateway/gateway_poll.h"
 #include "camphorsail/gateway/gateway_update.h"
+#include "camphorsail/routing/routing_history.h"
 #include "camphorsail/runtime/control_runtime.h"
 
 namespace camphorsail {
 
 /// The gateways that a replica serves. Answers their polls once the replica's
-/// state is confirmed as current, and sends each new routing table to them
-/// immediately. Thread-safe; no lock is held while hooks run.
+/// state is confirmed as current, and sends each change of the routing table to
+/// them immediately. Thread-safe; no lock is held while hooks run.
 class GatewaySessions {
  public:
   /// Interval at which replicas exchange the load of their gateways. It is
@@ -50,9 +51,22 @@
   /// replica or stopped.
   static constexpr absl::Duration kSessionLifetime = absl::Milliseconds(1500);
 
+  /// A table or delta that was sent is assumed to be on its way for this long,
+  /// and not sent again although the gateway still reports its old version. A
+  /// large table takes several poll intervals on a slow link.
+  static constexpr absl::Duration kTableResendInterval = absl::Seconds(1);
+
   struct Session {
     MonoTime polled_at;
+    /// Identifies the start of the gateway's process.
+    uint64_t process = 0;
+    /// Version of the gateway's table, from its latest poll.
     uint64_t table_version = 0;
+    /// Version that was last sent to the gateway, the version that the gateway
+    /// had reported then, and the time.
+    uint64_t sent_version = 0;
+    uint64_t sent_base = 0;
+    MonoTime sent_at;
     std::vector<GatewayServerLoad> loads;
     EngineDemand demand;
   };
@@ -70,9 +84,15 @@
   /// @return The load and the demand of the gateways that poll this replica.
   GatewayGroupLoad OwnLoad() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void RemoveExpired() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  /// Adds the table or the deltas that the gateway needs to the update, unless
+  /// they are on their way to it.
+  /// @return True when something was added.
+  bool AddTable(Session* session, GatewayUpdate* update)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
   const Hooks hooks_;
   absl::Mutex mutex_;
+  RoutingHistory history_ ABSL_GUARDED_BY(mutex_);
   std::map<VmId, Session> sessions_ ABSL_GUARDED_BY(mutex_);
   /// Load reported by each other replica.
   std::map<VmId, ReplicaLoad> replica_loads_ ABSL_GUARDED_BY(mutex_);
--- /dev/null
+++ b/tests/unit/platform/settings_template_test.cc
@@ -0,0 +1,63 @@
+#include <fstream>
+#include <regex>
+#include <sstream>
+#include <string>
+
+#include "camphorsail/process/options.h"
+#include "gtest/gtest.h"
+
+// Tests that the settings templates of deploy/ accept every legal value that
+// the platform may fill in.
+namespace camphorsail {
+namespace {
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+/// Fills in a template.
+/// @param figure Value of each limit and bound that is not a fraction.
+std::string Render(std::string text, const std::string& figure) {
+  const std::pair<const char*, std::string> values[] = {
+      {R"(\{\{ip\}\})", "10.1.0.40"},
+      {R"(\{\{(region|zone)\}\})", "place"},
+      {R"(\{\{seeds\}\})", "10.1.0.42:8229,10.2.0.30:8229"},
+      {R"(\{\{internalPorts\.0\}\})", "7340"},
+      {R"(\{\{internalPorts\.1\}\})", "7355"},
+      {R"(\{\{listen\.\w+\}\})", "10.1.0.40:8227"},
+      {R"(\{\{bootstrap\}\})", "true"},
+      {R"(\{\{tolerate\.\w+\}\})", "2"},
+      {R"(\{\{dataDir\}\})", "data"},
+      {R"(\{\{bounds\.retryRatio\}\})", "0.25"},
+      {R"(\{\{(bounds|limits)\.\w+\}\})", figure},
+  };
+  for (const auto& [pattern, value] : values) {
+    text = std::regex_replace(text, std::regex(pattern), value);
+  }
+  return text;
+}
+
+// Guards against processes that end at their start because a figure of the
+// deployment is not an integer.
+TEST(SettingsTemplateTest, FiguresMayHaveDecimals) {
+  const std::string root = CAMPHORSAIL_SOURCE_DIR;
+  for (const char* name : {"gateway.settings", "control.settings"}) {
+    for (const char* figure : {"32", "32.7360001", "8.0", "1e2"}) {
+      std::string text = Render(ReadFile(root + "/deploy/" + name), figure);
+      ASSERT_EQ(text.find("{{"), std::string::npos) << text;
+      text = std::regex_replace(text, std::regex("deploy/"), root + "/deploy/");
+      const std::string path = testing::TempDir() + "/" + name;
+      std::ofstream(path) << text;
+      const OptionsOutcome outcome =
+          ParseOptions({"camphorsaild"}, {{"CAMPHORSAIL_NODE_FILE", path}});
+      EXPECT_TRUE(outcome.options)
+          << name << " " << figure << ": " << outcome.errors;
+    }
+  }
+}
+
+}  // namespace
+}  // namespace camphorsail
