Gateway, peers: bounded answers, stuck requests told by all gateways' answers

Operators' fault "bytes that are no answer, without end": the body of an answer and an incomplete event were held without a limit, interim answers were read without a limit, and a fast sender kept the event loop reading one connection. AnswerBudget bounds one answer and all together, at most 16 interim answers, at most 8 reads per event. Three of the four tests of an endless answer failed on the code before (body, event, interim answers); the head was bounded by the parser.

The new test of crossing connections did not fail on the old code in 4,500 rounds, so it shows no more than that nothing else broke.

--- a/camphorsail/gateway/backend_connection.cc
+++ b/camphorsail/gateway/backend_connection.cc
@@ -20,6 +20,11 @@
 /// path to it has failed.
 constexpr absl::Duration kPeerFailureTimeout = absl::Seconds(3);
 constexpr size_t kReadBytes = 16 * 1024;
+/// Reads after which the event loop turns to other connections. A server that
+/// sends faster than the gateway reads would otherwise occupy it.
+constexpr int kMaxReadsPerEvent = 8;
+/// Interim (1xx) answers that one request may get.
+constexpr int kMaxInterimAnswers = 16;
 
 /// @return Seconds of `timeout=N` in a `Keep-Alive` header.
 absl::Duration ParseKeepAlive(const std::string& value) {
@@ -94,7 +99,9 @@
   if (head.status < 200) {
     // An interim (1xx) answer. 101 is an error, because the gateway never asks
     // for an upgrade.
-    return head.status == 101 ? -1 : 0;
+    return head.status == 101 || ++self->interim_answers_ > kMaxInterimAnswers
+               ? -1
+               : 0;
   }
   const size_t framings = head.headers.Count("content-length") +
                           head.headers.Count("transfer-encoding");
@@ -144,6 +151,7 @@
   sent_ = false;
   is_head_ = is_head;
   paused_ = false;
+  interim_answers_ = 0;
   final_head_received_ = false;
   message_complete_ = false;
   reusable_ = false;
@@ -210,7 +218,10 @@
 
 void BackendConnection::Read() {
   std::array<char, kReadBytes> buffer;
-  while (fd_ >= 0 && !paused_) {
+  // What is left is read with the next event of the loop, which reports it
+  // again.
+  for (int reads = 0; reads < kMaxReadsPerEvent && fd_ >= 0 && !paused_;
+       ++reads) {
     const ssize_t size = recv(fd_, buffer.data(), buffer.size(), 0);
     if (size < 0 && errno == EINTR) {
       continue;
--- a/camphorsail/gateway/backend_connection.h
+++ b/camphorsail/gateway/backend_connection.h
@@ -93,6 +93,8 @@
 
   http_parser parser_;
   HeaderCollector collector_;
+  /// Interim (1xx) answers to the request so far.
+  int interim_answers_ = 0;
   /// The head of the final (not interim) answer has arrived.
   bool final_head_received_ = false;
   bool message_complete_ = false;
--- a/camphorsail/gateway/backend_fleet.cc
+++ b/camphorsail/gateway/backend_fleet.cc
@@ -27,13 +27,15 @@
   return found == by_service_.end() ? *none : found->second;
 }
 
-std::vector<GatewayServerLoad> BackendFleet::Loads(MonoTime now) const {
+std::vector<GatewayServerLoad> BackendFleet::TakeLoads(MonoTime now) {
   std::vector<GatewayServerLoad> loads;
   for (const auto& [id, server] : servers_) {
-    if (server->in_flight() > 0) {
+    const uint32_t answers = server->TakeAnswers();
+    if (server->in_flight() > 0 || answers > 0) {
       loads.push_back({server->hash, static_cast<uint32_t>(server->in_flight()),
-                       static_cast<uint32_t>(absl::ToInt64Milliseconds(
-                           server->OwnBacklog(now)))});
+                       static_cast<uint32_t>(
+                           absl::ToInt64Milliseconds(server->OwnBacklog(now))),
+                       answers});
     }
   }
   return loads;
--- a/camphorsail/gateway/backend_fleet.h
+++ b/camphorsail/gateway/backend_fleet.h
@@ -8,9 +8,9 @@
 #include "absl/container/flat_hash_map.h"
 #include "camphorsail/base/ids.h"
 #include "camphorsail/base/mono_time.h"
+#include "camphorsail/membership/server_registry.h"
 #include "camphorsail/placement/backend_server.h"
 #include "camphorsail/placement/gateway_server_load.h"
-#include "camphorsail/membership/server_registry.h"
 
 namespace camphorsail {
 
@@ -30,8 +30,9 @@
   /// hash; empty when there are none.
   const Servers& ServersOf(const ModelId& service) const;
 
-  /// @return The load of this gateway on each server where it has requests.
-  std::vector<GatewayServerLoad> Loads(MonoTime now) const;
+  /// @return The load of this gateway on each server where it has requests, or
+  /// from which it had answers since the last call.
+  std::vector<GatewayServerLoad> TakeLoads(MonoTime now);
   /// Takes the load of the other gateways.
   /// @param loads One entry for each server where they have requests.
   void OnOtherGatewaysLoads(const std::vector<GatewayServerLoad>& loads,
--- a/camphorsail/gateway/exchange.h
+++ b/camphorsail/gateway/exchange.h
@@ -11,14 +11,14 @@
 #include "camphorsail/base/mono_time.h"
 #include "camphorsail/base/ref.h"
 #include "camphorsail/gateway/backend_connection.h"
-#include "camphorsail/placement/backend_server.h"
 #include "camphorsail/gateway/caller_connection.h"
 #include "camphorsail/gateway/caller_request.h"
 #include "camphorsail/gateway/event_stream.h"
 #include "camphorsail/gateway/http_heads.h"
-#include "camphorsail/placement/placement.h"
 #include "camphorsail/gateway/server_reply.h"
 #include "camphorsail/net/event_loop.h"
+#include "camphorsail/placement/backend_server.h"
+#include "camphorsail/placement/placement.h"
 #include "camphorsail/routing/route_index.h"
 
 namespace camphorsail {
@@ -53,6 +53,9 @@
   /// Body of an answer that is not forwarded as a stream.
   std::string body;
   EventStream events;
+  /// Bytes of `body` and of the incomplete event, as counted in the
+  /// `AnswerBudget`.
+  size_t held_bytes = 0;
 };
 
 /// State of a caller's request from its arrival to the end of its answer. Owned
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -57,6 +57,7 @@
       gauges_(metrics),
       pool_(settings.pool, loop),
       placement_(settings.placement, settings.seed),
+      answers_(settings.answers),
       random_(settings.seed ^ kTargetChoiceSeedMask) {}
 
 Gateway::~Gateway() {
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -7,6 +7,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "camphorsail/base/error.h"
+#include "camphorsail/gateway/answer_budget.h"
 #include "camphorsail/gateway/backend_connection_pool.h"
 #include "camphorsail/gateway/backend_fleet.h"
 #include "camphorsail/gateway/caller_listener.h"
@@ -123,6 +124,8 @@
   bool OnHead(Exchange* exchange, HttpResponseHead head);
   /// Handles a part of an answer's body.
   void OnData(Exchange* exchange, std::string_view data);
+  /// Gives up the attempt when it holds too much of an incomplete answer.
+  void LimitHeldAnswer(Exchange* exchange);
   /// Handles the end of a complete answer.
   void OnEnd(Exchange* exchange);
   /// Handles an attempt that ended without a complete answer.
@@ -196,6 +199,7 @@
   BackendFleet fleet_;
   Placement placement_;
   DemandMeter demand_;
+  AnswerBudget answers_;
   RefusalOutbox refusals_;
   absl::flat_hash_map<ModelId, ServiceModel> models_;
   Random random_;
--- a/camphorsail/gateway/gateway_answer.cc
+++ b/camphorsail/gateway/gateway_answer.cc
@@ -69,9 +69,22 @@
   if (exchange->route->kind == RouteKind::kStream &&
       attempt.head->status == kStreamStatus) {
     ForwardEvents(exchange, data);
-    return;
+  } else {
+    attempt.body.append(data);
+  }
+  // The caller may have disconnected while its data was written.
+  if (!exchange->finished) {
+    LimitHeldAnswer(exchange);
+  }
+}
+
+void Gateway::LimitHeldAnswer(Exchange* exchange) {
+  ExchangeAttempt& attempt = *exchange->attempt;
+  if (!answers_.Update(attempt.body.size() + attempt.events.rest().size(),
+                       &attempt.held_bytes)) {
+    RetryOrRefuse(exchange, "answer_too_large", /*may_have_run=*/true,
+                  /*timed_out=*/false);
   }
-  attempt.body.append(data);
 }
 
 void Gateway::RecordFirstAnswer(Exchange* exchange) {
@@ -320,6 +333,7 @@
   if (!attempt.has_answer) {
     attempt.server->OnPromptDone(attempt.prefill, now);
   }
+  answers_.Update(0, &attempt.held_bytes);
   attempt.server->OnFinished(exchange->placement.is_interactive, now);
   BackendConnection* connection = std::exchange(attempt.connection, nullptr);
   if (cancel && connection != nullptr) {
--- a/camphorsail/gateway/gateway_settings.h
+++ b/camphorsail/gateway/gateway_settings.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "camphorsail/base/network_address.h"
+#include "camphorsail/gateway/answer_budget.h"
 #include "camphorsail/gateway/backend_connection_pool.h"
 #include "camphorsail/gateway/caller_budget.h"
 #include "camphorsail/placement/gateway_retry_budget.h"
@@ -20,6 +21,7 @@
   /// Additional address for `/metrics`; port 0 for none.
   NetworkAddress metrics_listen;
   CallerBudgetSettings callers;
+  AnswerBudgetSettings answers;
   BackendConnectionPoolSettings pool;
   PlacementSettings placement;
   GatewayRetryBudgetSettings retries;
--- a/camphorsail/peer/peer_transport_core.cc
+++ b/camphorsail/peer/peer_transport_core.cc
@@ -371,6 +371,14 @@
 }
 
 void PeerTransportCore::CloseMarked(MonoTime now) {
+  for (const uint64_t id : std::exchange(replaced_attempts_, {})) {
+    const auto it = connections_.find(id);
+    // An attempt whose handshake has ended in this iteration of the loop is
+    // kept, because messages may have been written to it.
+    if (it != connections_.end() && !it->second.outbound->ready()) {
+      marked_for_close_.push_back(id);
+    }
+  }
   // Closing a connection calls handlers. They mark no other connection, but may
   // change the table of peers.
   const std::vector<uint64_t> marked = std::exchange(marked_for_close_, {});
@@ -522,7 +530,7 @@
     // unreachable.
     peer->backoff = absl::ZeroDuration();
     if (peer->outbound_id != 0) {
-      marked_for_close_.push_back(peer->outbound_id);
+      replaced_attempts_.push_back(peer->outbound_id);
     }
     peer->next_attempt = now_;
     next_housekeeping_ = now_;
--- a/camphorsail/peer/peer_transport_core.h
+++ b/camphorsail/peer/peer_transport_core.h
@@ -122,6 +122,9 @@
   std::vector<Ref<PeerState>> loop_peers_;
   absl::flat_hash_map<uint64_t, Connection> connections_;
   std::vector<uint64_t> marked_for_close_;
+  /// Connection attempts to peers that have connected meanwhile. They are
+  /// closed at the end of the loop's iteration unless they have succeeded.
+  std::vector<uint64_t> replaced_attempts_;
   uint64_t next_id_ = 0;
   size_t inbound_count_ = 0;
   size_t unauthenticated_count_ = 0;
--- a/camphorsail/placement/backend_server.cc
+++ b/camphorsail/placement/backend_server.cc
@@ -39,13 +39,15 @@
     answered_numbers_.pop_front();
   }
   answered_at_ = now;
+  ++new_answers_;
 }
 
 bool BackendServer::IsStuck(uint64_t number,
                             MonoTime dispatched_at,
                             MonoTime now) const {
   const bool is_busy = Load(now) > slots || PromptBacklog(now) > kBusyBacklog;
-  if (answered_at_ <= dispatched_at || !is_busy) {
+  if (std::max(answered_at_, answered_others_at_) <= dispatched_at ||
+      !is_busy) {
     return true;
   }
   const auto overtaken =
@@ -79,6 +81,9 @@
                                         MonoTime now) {
   other_gateways_ = load;
   other_gateways_at_ = now;
+  if (load.answers > 0) {
+    answered_others_at_ = now;
+  }
 }
 
 double BackendServer::OtherGatewaysLoad(MonoTime now) const {
--- a/camphorsail/placement/backend_server.h
+++ b/camphorsail/placement/backend_server.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <utility>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -56,9 +57,11 @@
   void OnFirstAnswer(uint64_t number, MonoTime now);
   /// Judges a request that has waited for its answer for long.
   /// @return True when the request seems to be stuck: the server has answered
-  /// no request since `dispatched_at`, or has answered several that were sent
-  /// later, or is not busy.
+  /// no request of any gateway since `dispatched_at`, or has answered several
+  /// that this gateway sent later, or is not busy.
   bool IsStuck(uint64_t number, MonoTime dispatched_at, MonoTime now) const;
+  /// @return Answers of the server to this gateway since the last call.
+  uint32_t TakeAnswers() { return std::exchange(new_answers_, 0); }
   /// Records that the server has read a request's prompt, or that the attempt
   /// ended before that.
   void OnPromptDone(absl::Duration prefill, MonoTime now);
@@ -98,7 +101,11 @@
   /// Sequence numbers of the requests that were answered last, to find stuck
   /// requests.
   std::deque<uint64_t> answered_numbers_;
+  /// When the server last answered this gateway.
   MonoTime answered_at_;
+  /// When another gateway last reported an answer of the server.
+  MonoTime answered_others_at_;
+  uint32_t new_answers_ = 0;
   int in_flight_ = 0;
   int interactive_streams_ = 0;
   ReportedLoad report_;
--- a/camphorsail/placement/gateway_server_load.h
+++ b/camphorsail/placement/gateway_server_load.h
@@ -19,8 +19,10 @@
   /// Time that the server needs to read the prompts of these requests that it
   /// has not read yet, in milliseconds.
   uint32_t backlog_ms = 0;
+  /// First events and whole answers that arrived since the report before.
+  uint32_t answers = 0;
 
-  MSGPACK_DEFINE(server, in_flight, backlog_ms)
+  MSGPACK_DEFINE(server, in_flight, backlog_ms, answers)
 };
 
 /// Sum of the loads of several gateways, by server.
@@ -33,6 +35,7 @@
       sum.server = load.server;
       sum.in_flight += load.in_flight;
       sum.backlog_ms += load.backlog_ms;
+      sum.answers += load.answers;
     }
   }
   /// Subtracts loads that were added by `Add` before.
@@ -41,6 +44,7 @@
       GatewayServerLoad& sum = sums_[load.server];
       sum.in_flight -= load.in_flight;
       sum.backlog_ms -= load.backlog_ms;
+      sum.answers -= load.answers;
     }
   }
   /// @return The sums of the servers that have any load.
@@ -48,7 +52,7 @@
     std::vector<GatewayServerLoad> loads;
     loads.reserve(sums_.size());
     for (const auto& [server, load] : sums_) {
-      if (load.in_flight > 0 || load.backlog_ms > 0) {
+      if (load.in_flight > 0 || load.backlog_ms > 0 || load.answers > 0) {
         loads.push_back(load);
       }
     }
--- a/camphorsail/runtime/gateway_daemon.cc
+++ b/camphorsail/runtime/gateway_daemon.cc
@@ -55,6 +55,7 @@
   settings.metrics_listen = options.metrics_listen;
   settings.callers = CallerBudgetSettings::For(options.memory_limit_bytes,
                                                options.descriptor_limit);
+  settings.answers = AnswerBudgetSettings::For(options.memory_limit_bytes);
   settings.retries = MakeRetrySettings(options);
   settings.seed = RandomSeed();
   return settings;
@@ -218,7 +219,7 @@
   const MonoTime now = loop_.now();
   const uint64_t token = lease_.OnPoll(now);
   message.payload = PackBytes(
-      GatewayPoll{token, table_version_, gateway_.fleet().Loads(now),
+      GatewayPoll{token, table_version_, gateway_.fleet().TakeLoads(now),
                   gateway_.Demand(), gateway_.refusals().Take(token)});
   message.replaceable = true;
   peers_->Send(to, std::move(message));
--- a/tests/unit/gateway/gateway_parts_test.cc
+++ b/tests/unit/gateway/gateway_parts_test.cc
@@ -1,3 +1,4 @@
+#include "camphorsail/gateway/answer_budget.h"
 #include "camphorsail/gateway/event_stream.h"
 #include "camphorsail/gateway/refusal_outbox.h"
 #include "camphorsail/gateway/table_lease.h"
@@ -48,6 +49,26 @@
   EXPECT_TRUE(outbox.Take(8).empty());
 }
 
+// Guards against many servers that send without end at the same time.
+TEST(AnswerBudgetTest, BoundsAllIncompleteAnswersTogether) {
+  const AnswerBudgetSettings settings = AnswerBudgetSettings::For(400 << 20);
+  AnswerBudget budget(settings);
+  std::vector<size_t> held(1000, 0);
+  size_t refused = 0;
+  for (size_t& answer : held) {
+    if (!budget.Update(1 << 20, &answer)) {
+      ++refused;
+      budget.Update(0, &answer);
+    }
+  }
+  EXPECT_EQ(refused, 950U);
+  EXPECT_LE(budget.total(), settings.max_total_bytes);
+  for (size_t& answer : held) {
+    budget.Update(0, &answer);
+  }
+  EXPECT_EQ(budget.total(), 0U);
+}
+
 TEST(EventStreamTest, ForwardsCompleteEvents) {
   EventStream stream;
   EXPECT_EQ(stream.Take("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
--- a/tests/unit/gateway/gateway_test.cc
+++ b/tests/unit/gateway/gateway_test.cc
@@ -54,6 +54,7 @@
     settings.ready_listen = {"127.0.0.1", 0};
     settings.pool.source_ip = "127.0.0.1";
     settings.retries.slack = 100;
+    settings.answers.max_answer_bytes = 1 << 20;
     return settings;
   }
   static void AddRoute(RoutingTable* table,
@@ -304,5 +305,76 @@
   EXPECT_TRUE(gateway_.IsIdle());
 }
 
+/// Lets a server send a piece again and again until the gateway closes the
+/// connection.
+/// @param bytes Bytes after which the gateway is expected to have closed it.
+/// @return True when it did.
+bool ClosesEndlessAnswer(LoopDriver* driver,
+                         RawSocket* server,
+                         const std::string& piece,
+                         size_t bytes) {
+  for (size_t sent = 0; sent < bytes; sent += piece.size()) {
+    if (server->HasEnded()) {
+      return true;
+    }
+    server->Write(piece);
+    driver->RunFor(absl::Milliseconds(1));
+  }
+  return server->HasEnded();
+}
+
+// The tests below guard against servers in trouble that send bytes without end:
+// each of them ends its connection, and a request that may run again is
+// answered by another server.
+TEST_F(GatewayTest, EndlessBodyEndsTheAttempt) {
+  RawSocket caller = Call("/safe/x");
+  RawSocket* server = NextAttempt();
+  ASSERT_NE(server, nullptr);
+  server->Write(std::string("HTTP/1.1 200 OK\r\nX-Id: 42\r\n") + kSigned +
+                "\r\n");
+  EXPECT_TRUE(
+      ClosesEndlessAnswer(&driver_, server, std::string(16384, 'x'), 4 << 20));
+  RawSocket* other = NextAttempt();
+  ASSERT_NE(other, nullptr);
+  other->Write(Answer("200 OK", kSigned, "whole"));
+  EXPECT_TRUE(WaitFor(&caller, "whole"));
+}
+
+TEST_F(GatewayTest, EndlessEventEndsTheAttempt) {
+  RawSocket caller = Call("/once/x");
+  RawSocket* server = NextAttempt();
+  ASSERT_NE(server, nullptr);
+  server->Write(std::string("HTTP/1.1 200 OK\r\nX-Id: 42\r\n") + kSigned +
+                "\r\ndata: ");
+  EXPECT_TRUE(
+      ClosesEndlessAnswer(&driver_, server, std::string(16384, 'x'), 4 << 20));
+  EXPECT_TRUE(WaitFor(&caller, "502"));
+}
+
+TEST_F(GatewayTest, EndlessHeadEndsTheAttempt) {
+  RawSocket caller = Call("/safe/x");
+  RawSocket* server = NextAttempt();
+  ASSERT_NE(server, nullptr);
+  server->Write("HTTP/1.1 200 OK\r\n");
+  EXPECT_TRUE(ClosesEndlessAnswer(
+      &driver_, server, "X-More: " + std::string(4096, 'x') + "\r\n", 1 << 20));
+  RawSocket* other = NextAttempt();
+  ASSERT_NE(other, nullptr);
+  other->Write(Answer("200 OK", kSigned, "whole"));
+  EXPECT_TRUE(WaitFor(&caller, "whole"));
+}
+
+TEST_F(GatewayTest, EndlessInterimAnswersEndTheAttempt) {
+  RawSocket caller = Call("/safe/x");
+  RawSocket* server = NextAttempt();
+  ASSERT_NE(server, nullptr);
+  EXPECT_TRUE(ClosesEndlessAnswer(&driver_, server,
+                                  "HTTP/1.1 100 Continue\r\n\r\n", 100'000));
+  RawSocket* other = NextAttempt();
+  ASSERT_NE(other, nullptr);
+  other->Write(Answer("200 OK", kSigned, "whole"));
+  EXPECT_TRUE(WaitFor(&caller, "whole"));
+}
+
 }  // namespace
 }  // namespace camphorsail
--- a/tests/unit/peer/peer_test_support.cc
+++ b/tests/unit/peer/peer_test_support.cc
@@ -33,6 +33,7 @@
 TestNode::TestNode(PeerTransportSettings settings) : vm_(settings.vm) {
   Expected<std::unique_ptr<PeerTransport>> created = PeerTransport::Create(
       std::move(settings), &clock_, [this](const VmId& from, PeerMessage m) {
+        absl::SleepFor(absl::Milliseconds(message_delay_ms_.load()));
         absl::MutexLock lock(&mutex_);
         received_.emplace_back(from.value(), std::move(m.payload));
       });
--- a/tests/unit/peer/peer_test_support.h
+++ b/tests/unit/peer/peer_test_support.h
@@ -1,6 +1,8 @@
 #ifndef CAMPHORSAIL_TESTS_UNIT_PEER_PEER_TEST_SUPPORT_H_
 #define CAMPHORSAIL_TESTS_UNIT_PEER_PEER_TEST_SUPPORT_H_
 
+#include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -35,6 +37,11 @@
   SharedHybridClock& clock() { return clock_; }
   PeerAddress address() const;
   PeerSendResult Send(const std::string& to, const std::string& payload);
+  /// Makes the node take this long for each message that it receives, during
+  /// which its event loop handles nothing else.
+  void SetMessageDelay(absl::Duration delay) {
+    message_delay_ms_ = absl::ToInt64Milliseconds(delay);
+  }
   std::vector<std::pair<std::string, std::string>> Received() const;
   size_t ReceivedCount() const;
   /// @return The counters of one peer; zeros when the peer is unknown.
@@ -42,6 +49,7 @@
 
  private:
   const VmId vm_;
+  std::atomic<int64_t> message_delay_ms_ = 0;
   SharedHybridClock clock_;
   mutable absl::Mutex mutex_;
   /// Sender and payload in the order of arrival.
--- a/tests/unit/peer/peer_transport_test.cc
+++ b/tests/unit/peer/peer_transport_test.cc
@@ -1,8 +1,11 @@
 #include "camphorsail/peer/peer_transport.h"
 
+#include <atomic>
 #include <optional>
 #include <string>
+#include <thread>
 
+#include "absl/time/clock.h"
 #include "gtest/gtest.h"
 #include "peer_test_support.h"
 
@@ -33,6 +36,46 @@
             b.StatsOf("a").payload_bytes_received);
 }
 
+// Guards against the loss of messages that are written when a handshake ends,
+// because a connection of the other direction closes the attempt in the same
+// iteration of the event loop. The event loop of `a` is kept busy, so that the
+// events of both connections are handled in one iteration.
+TEST(PeerTransportTest, ConnectionsThatCrossLoseNoMessage) {
+  TestNode a(MakeTestSettings("a", "127.0.0.1"));
+  TestNode busy(MakeTestSettings("busy", "127.0.0.3"));
+  MakePeers(a, busy);
+  a.SetMessageDelay(absl::Milliseconds(3));
+  std::atomic<bool> stop = false;
+  std::thread sender([&] {
+    while (!stop) {
+      busy.Send("a", "delay");
+      absl::SleepFor(absl::Milliseconds(4));
+    }
+  });
+  const VmId name("b");
+  PeerTransportSettings settings = MakeTestSettings("b", "127.0.0.2");
+  settings.listen = TestNode(settings).address().address;
+  ASSERT_TRUE(a.transport().AddPeer({name, settings.listen}));
+  for (int round = 0; round < 150; ++round) {
+    // `a` tries to connect again and again. The connection of the restarted
+    // peer arrives at any time of such an attempt.
+    ASSERT_TRUE(WaitUntil([&] { return !a.StatsOf("b").outbound_connected; }));
+    TestNode b(settings);
+    EXPECT_TRUE(b.transport().AddPeer(a.address()));
+    constexpr size_t kMessages = 5;
+    for (size_t i = 0; i < kMessages; ++i) {
+      EXPECT_EQ(a.Send("b", "x"), PeerSendResult::kQueued);
+    }
+    EXPECT_TRUE(WaitUntil([&] { return b.ReceivedCount() == kMessages; }))
+        << "round " << round << ", received " << b.ReceivedCount();
+    if (HasFailure()) {
+      break;
+    }
+  }
+  stop = true;
+  sender.join();
+}
+
 // Guards against messages that reach a peer other than the addressed one, or
 // carry a wrong sender.
 TEST(PeerTransportTest, MessagesReachOnlyTheAddressedPeer) {
--- a/tests/unit/placement/server_state_test.cc
+++ b/tests/unit/placement/server_state_test.cc
@@ -110,17 +110,31 @@
   server.OnFirstAnswer(server.OnDispatch(absl::ZeroDuration(), true, At(1)),
                        At(1.1));
   EXPECT_TRUE(server.IsStuck(first, At(0), At(4)));
-  server.OnOtherGatewaysLoad({0, 9, 0}, At(4));
+  server.OnOtherGatewaysLoad({0, 9, 0, 0}, At(4));
   EXPECT_FALSE(server.IsStuck(first, At(0), At(4)));
-  server.OnOtherGatewaysLoad({0, 2, 2000}, At(4));
+  server.OnOtherGatewaysLoad({0, 2, 2000, 0}, At(4));
   EXPECT_FALSE(server.IsStuck(first, At(0), At(4)));
 }
 
+// Load pattern: many gateways before many engines, each of which sees few
+// answers of any one engine. A request that waits its turn on an engine that
+// answers others must not be sent to be read a second time elsewhere.
+TEST(BackendServerTest, RequestIsNotStuckWhileOtherGatewaysGetAnswers) {
+  BackendServer server;
+  server.slots = 8;
+  const uint64_t number =
+      server.OnDispatch(absl::Milliseconds(100), false, At(0));
+  server.OnOtherGatewaysLoad({0, 12, 3000, 0}, At(1.9));
+  EXPECT_TRUE(server.IsStuck(number, At(0), At(2)));
+  server.OnOtherGatewaysLoad({0, 12, 3000, 2}, At(1.9));
+  EXPECT_FALSE(server.IsStuck(number, At(0), At(2)));
+}
+
 TEST(BackendServerTest, FreshSharedLoadTakesPrecedenceOverReports) {
   BackendServer server;
   server.OnReport({20, 5, 32}, At(0));
   EXPECT_EQ(server.OtherGatewaysLoad(At(0)), 25);
-  server.OnOtherGatewaysLoad({0, 3, 100}, At(0));
+  server.OnOtherGatewaysLoad({0, 3, 100, 0}, At(0));
   EXPECT_EQ(server.OtherGatewaysLoad(At(0)), 3);
   EXPECT_EQ(server.PromptBacklog(At(0.04)), absl::Milliseconds(60));
   EXPECT_GT(server.OtherGatewaysLoad(At(1.6)), 3);
