Gateway, event loop: planned stops, paused processes, unexpected errors

Faults that other operators told of, looked for here: - Planned stop: closing the listener reset connections that the kernel had established but the gateway had not accepted, and an open connection with an unread request was closed as idle. Both are read first now.

--- a/camphorsail/gateway/caller_connection.cc
+++ b/camphorsail/gateway/caller_connection.cc
@@ -23,6 +23,8 @@
 /// it.
 constexpr absl::Duration kLingerTimeout = absl::Seconds(1);
 constexpr size_t kReadBytes = 16 * 1024;
+/// Reads after which the event loop turns to other connections.
+constexpr int kMaxReadsPerEvent = 8;
 
 std::string_view ReasonPhrase(int status) {
   switch (status) {
@@ -214,7 +216,9 @@
 
 void CallerConnection::Read() {
   std::array<char, kReadBytes> buffer;
-  while (fd_ >= 0) {
+  // What is left is read with the next event of the loop, which reports it
+  // again.
+  for (int reads = 0; reads < kMaxReadsPerEvent && fd_ >= 0; ++reads) {
     const ssize_t size = recv(fd_, buffer.data(), buffer.size(), 0);
     if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
       return;
@@ -452,7 +456,11 @@
 
 void CallerConnection::CloseWhenIdle() {
   keep_alive_ = false;
-  if (state_ == State::kIdle && input_.empty()) {
+  if (fd_ >= 0 && state_ == State::kIdle) {
+    // A request may have arrived that was not read yet.
+    Read();
+  }
+  if (fd_ >= 0 && state_ == State::kIdle && input_.empty()) {
     Close();
   }
 }
--- a/camphorsail/gateway/caller_listener.cc
+++ b/camphorsail/gateway/caller_listener.cc
@@ -122,6 +122,9 @@
 }
 
 void CallerListener::StopAccepting() {
+  // Closing the listening socket resets the connections that the kernel has
+  // established but that were not accepted yet.
+  Accept();
   if (fd_ >= 0) {
     loop_->Unwatch(watch_);
     close(std::exchange(fd_, -1));
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "camphorsail/base/monotonic_clock.h"
 #include "camphorsail/gateway/error_reply.h"
 #include "camphorsail/gateway/http_parse.h"
 #include "camphorsail/process/log_event.h"
@@ -141,8 +142,12 @@
       .Add("accounts", table->table.accounts.size());
 }
 
+bool Gateway::IsLeaseValid() const {
+  return MonotonicNow() < lease_valid_until_;
+}
+
 bool Gateway::IsReady() const {
-  return !draining_ && index_ && loop_->now() < lease_valid_until_;
+  return !draining_ && index_ && IsLeaseValid();
 }
 
 void Gateway::BeginDrain() {
@@ -248,7 +253,7 @@
   if (!exchange->index) {
     return Fail(ErrorKind::kNotReady, "the gateway has no routing table yet");
   }
-  if (now >= lease_valid_until_) {
+  if (!IsLeaseValid()) {
     return Fail(ErrorKind::kLeaseExpired,
                 "the gateway cannot confirm that its routing table is current");
   }
@@ -339,7 +344,7 @@
 
 void Gateway::Dispatch(Exchange* exchange) {
   const MonoTime now = loop_->now();
-  if (now >= lease_valid_until_) {
+  if (!IsLeaseValid()) {
     Refuse(exchange, ErrorKind::kLeaseExpired,
            "the gateway cannot confirm that its routing table is current");
     return;
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -106,6 +106,9 @@
   /// Determines the route, account, service and deadline of a request.
   /// @return The error to answer with when the request is refused.
   Expected<void> Admit(Exchange* exchange);
+  /// @return True while the lease on the routing table is valid. Reads the
+  /// clock, because the process may have been paused since the event loop did.
+  bool IsLeaseValid() const;
   /// Starts an attempt on the best server, or refuses the request when there is
   /// no suitable server.
   void Dispatch(Exchange* exchange);
--- a/camphorsail/gateway/gateway_answer.cc
+++ b/camphorsail/gateway/gateway_answer.cc
@@ -312,7 +312,7 @@
 bool Gateway::MayTryAgain(const Exchange& exchange, int possible_runs) const {
   const MonoTime now = loop_->now();
   const Route& route = *exchange.route;
-  if (exchange.started_attempts >= kMaxAttempts || now >= lease_valid_until_ ||
+  if (exchange.started_attempts >= kMaxAttempts || !IsLeaseValid() ||
       exchange.deadline - now < kMinTimeLeft) {
     return false;
   }
--- a/camphorsail/net/event_loop.cc
+++ b/camphorsail/net/event_loop.cc
@@ -8,6 +8,7 @@
 #include <memory>
 
 #include "camphorsail/base/monotonic_clock.h"
+#include "camphorsail/process/guarded_call.h"
 
 namespace camphorsail {
 namespace {
@@ -106,7 +107,11 @@
     if (found != watches_.end()) {
       // A copy, because the handler may remove its own watch.
       const Handler handler = found->second->handler;
-      handler(events[i].events);
+      if (!GuardedCall("event_loop", [&] { handler(events[i].events); })) {
+        // The same event would fail again at once. The owner of the descriptor
+        // ends it by its own time limit.
+        Unwatch(events[i].data.u64);
+      }
     }
   }
   RunTimers();
@@ -116,7 +121,7 @@
   while (!timers_.empty() && timers_.begin()->first.first <= now_) {
     const Task task = std::move(timers_.begin()->second);
     timers_.erase(timers_.begin());
-    task();
+    GuardedCall("event_loop", task);
   }
 }
 
@@ -127,7 +132,7 @@
     tasks.swap(tasks_);
   }
   for (const Task& task : tasks) {
-    task();
+    GuardedCall("event_loop", task);
   }
 }
 
--- a/camphorsail/peer/peer_transport_core.cc
+++ b/camphorsail/peer/peer_transport_core.cc
@@ -15,6 +15,7 @@
 #include "camphorsail/base/monotonic_clock.h"
 #include "camphorsail/net/tcp_socket.h"
 #include "camphorsail/peer/peer_frame.h"
+#include "camphorsail/process/guarded_call.h"
 #include "camphorsail/process/log_event.h"
 
 namespace camphorsail {
@@ -160,7 +161,10 @@
             read(wake_fd_, &value, sizeof(value));
         wake_pending_ = false;
       } else {
-        HandleEvent(id, events[i].events, now_);
+        if (!GuardedCall("peer",
+                         [&] { HandleEvent(id, events[i].events, now_); })) {
+          marked_for_close_.push_back(id);
+        }
       }
     }
     UpdatePeers();
--- a/camphorsail/process/log_schema.h
+++ b/camphorsail/process/log_schema.h
@@ -32,6 +32,9 @@
     {"log_lines_dropped", LogVolume::kEveryLine,
      "Log lines were dropped, because of the limit per event or a slow "
      "reader."},
+    {"handler_failed", LogVolume::kBounded,
+     "A handler ended with an unexpected exception; what it was working on is "
+     "given up."},
 
     {"unlisted", LogVolume::kBounded,
      "A decision whose event name is missing in this list."},
@@ -279,6 +282,7 @@
     {"voters", "Members with a vote."},
     {"wait_ms", "Time from the request's arrival to its first answer."},
     {"wall_micros", "Another daemon's wall clock, microseconds since 1970."},
+    {"where", "Loop in which a handler failed."},
 });
 
 }  // namespace camphorsail
--- a/tests/unit/gateway/gateway_test.cc
+++ b/tests/unit/gateway/gateway_test.cc
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "absl/time/clock.h"
 #include "gtest/gtest.h"
 #include "tests/fakes/gateway/fake_server.h"
 #include "tests/fakes/gateway/loop_driver.h"
@@ -305,6 +306,72 @@
   EXPECT_TRUE(gateway_.IsIdle());
 }
 
+// Guards against resetting callers at a planned stop whose connections the
+// kernel has established but the gateway has not accepted, and requests that
+// have arrived on open connections but were not read.
+TEST_F(GatewayTest, StopAnswersWhatHasJustArrived) {
+  RawSocket open = Call("/unsafe/x");
+  RawSocket* server = NextAttempt();
+  ASSERT_NE(server, nullptr);
+  server->Write(Answer("200 OK", kSigned, "first"));
+  ASSERT_TRUE(WaitFor(&open, "first"));
+  open.Clear();
+  open.Write(
+      "POST /unsafe/y HTTP/1.1\r\nHost: h\r\nX-Id: 42\r\nX-Key: key\r\n"
+      "Content-Length: 4\r\n\r\nbody");
+  RawSocket fresh = Call("/unsafe/z");
+  gateway_.BeginDrain();
+  gateway_.StopCallers();
+  for (int i = 0; i < 2; ++i) {
+    server = NextAttempt();
+    ASSERT_NE(server, nullptr);
+    server->Write(Answer("200 OK", kSigned, "last"));
+  }
+  EXPECT_TRUE(WaitFor(&open, "last"));
+  EXPECT_TRUE(WaitFor(&fresh, "last"));
+  EXPECT_TRUE(gateway_.IsIdle());
+}
+
+// Guards against acting on a lease that has expired while the process was
+// paused between reading the clock and handling a request.
+TEST_F(GatewayTest, PausedProcessDoesNotUseAnExpiredLease) {
+  RawSocket caller = RawSocket::Connect(gateway_.callers_port());
+  driver_.RunFor(absl::Milliseconds(20));
+  gateway_.SetLease(driver_.loop.now() + absl::Milliseconds(200));
+  driver_.loop.Post([] { absl::SleepFor(absl::Milliseconds(300)); });
+  caller.Write(
+      "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Id: 42\r\nX-Key: key\r\n"
+      "Content-Length: 4\r\n\r\nbody");
+  EXPECT_TRUE(WaitFor(&caller, "503"));
+  EXPECT_TRUE(NoFurtherAttempt());
+}
+
+// Guards against the late second copy of an answer on a connection that has
+// been used again: the next caller must not get it.
+TEST_F(GatewayTest, LateSecondCopyReachesNoOtherCaller) {
+  RawSocket first = Call("/unsafe/x");
+  RawSocket* server = NextAttempt();
+  ASSERT_NE(server, nullptr);
+  server->Write(Answer("200 OK", kSigned, "first"));
+  ASSERT_TRUE(WaitFor(&first, "first"));
+  RawSocket second = RawSocket::Connect(gateway_.callers_port());
+  second.Write(
+      "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Id: 43\r\nX-Key: key\r\n"
+      "Content-Length: 4\r\n\r\nbody");
+  RawSocket* again = NextAttempt();
+  ASSERT_NE(again, nullptr);
+  const std::string copy = Answer("200 OK", kSigned, "first");
+  // Byte by byte, so that every split is seen.
+  for (const char byte : copy) {
+    again->Write({&byte, 1});
+    driver_.RunFor(absl::Milliseconds(1));
+  }
+  EXPECT_TRUE(WaitFor(&second, "502"));
+  EXPECT_FALSE(second.Has("first"));
+  EXPECT_TRUE(driver_.RunUntil([&] { return again->HasEnded(); }));
+  EXPECT_TRUE(NoFurtherAttempt());
+}
+
 /// Lets a server send a piece again and again until the gateway closes the
 /// connection.
 /// @param bytes Bytes after which the gateway is expected to have closed it.
