--- a/tests/unit/platform/settings_template_test.cc
+++ b/tests/unit/platform/settings_template_test.cc
@@ -3,6 +3,7 @@
 #include <sstream>
 #include <string>
 
+#include "absl/strings/str_cat.h"
 #include "camphorsail/process/options.h"
 #include "gtest/gtest.h"
 
@@ -46,10 +47,12 @@
   const std::string root = CAMPHORSAIL_SOURCE_DIR;
   for (const char* name : {"gateway.settings", "control.settings"}) {
     for (const char* figure : {"32", "32.7360001", "8.0", "1e2"}) {
-      std::string text = Render(ReadFile(root + "/deploy/" + name), figure);
+      std::string text =
+          Render(ReadFile(absl::StrCat(root, "/deploy/", name)), figure);
       ASSERT_EQ(text.find("{{"), std::string::npos) << text;
-      text = std::regex_replace(text, std::regex("deploy/"), root + "/deploy/");
-      const std::string path = testing::TempDir() + "/" + name;
+      text = std::regex_replace(text, std::regex("deploy/"),
+                                absl::StrCat(root, "/deploy/"));
+      const std::string path = absl::StrCat(testing::TempDir(), "/", name);
       std::ofstream(path) << text;
       const OptionsOutcome outcome =
           ParseOptions({"camphorsaild"}, {{"CAMPHORSAIL_NODE_FILE", path}});
