--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -313,14 +313,8 @@
   PlacementRequest& placement = exchange->placement;
   const Route& route = *exchange->route;
   ServiceModel& model = ModelOf(*exchange);
-  const auto prompt_tokens =
-      static_cast<double>(placement.prompt_tokens.value());
-  const double shared_tokens =
-      placement.prefixes.prefixes.empty()
-          ? 0
-          : static_cast<double>(
-                placement.prefixes.prefixes.back().tokens.value());
-  model.OnRequest(route, prompt_tokens, prompt_tokens - shared_tokens);
+  model.OnRequest(route, static_cast<double>(placement.prompt_tokens.value()),
+                  placement.UnsharedTokens());
   if (!exchange->service->is_engine) {
     return;
   }
--- a/camphorsail/gateway/gateway_poll.h
+++ b/camphorsail/gateway/gateway_poll.h
@@ -4,9 +4,9 @@
 #include <cstdint>
 #include <vector>
 
+#include "camphorsail/gateway/refusal_report.h"
 #include "camphorsail/placement/engine_demand.h"
 #include "camphorsail/placement/gateway_server_load.h"
-#include "camphorsail/gateway/refusal_report.h"
 
 namespace camphorsail {
 
--- a/camphorsail/placement/placement.cc
+++ b/camphorsail/placement/placement.cc
@@ -49,14 +49,6 @@
   return ratio < 1 ? ratio : 1 + kLateWaitCost * (ratio - 1);
 }
 
-/// @return Length of the part of the prompt that other requests may share.
-double SharedTokens(const PlacementRequest& request) {
-  return request.prefixes.prefixes.empty()
-             ? 0
-             : static_cast<double>(
-                   request.prefixes.prefixes.back().tokens.value());
-}
-
 /// Ranks the servers for a prefix by rendezvous hashing.
 /// @param begin, end The range of the servers that are ranked.
 /// @param count Number of ranks to determine.
@@ -91,10 +83,7 @@
                                const EngineModel& engine,
                                double output_tokens,
                                int slots) {
-  const auto prompt_tokens = static_cast<double>(request.prompt_tokens.value());
-  const double unshared_tokens =
-      std::max(0.0, prompt_tokens - SharedTokens(request));
-  return engine.PrefillMs(unshared_tokens) +
+  return engine.PrefillMs(request.UnsharedTokens()) +
          output_tokens * engine.StepMs() / slots;
 }
 
@@ -169,12 +158,9 @@
                         const PlacementRequest& request,
                         const ServiceModel& model,
                         MonoTime now) const {
-  const double unshared_tokens =
-      std::max(0.0, static_cast<double>(request.prompt_tokens.value()) -
-                        SharedTokens(request));
   const double busy_engines =
       prefix_rates_.RateOf(prefix, now) * gateway_count_ *
-      model.engine().PrefillMs(unshared_tokens) / kMsPerSecond;
+      model.engine().PrefillMs(request.UnsharedTokens()) / kMsPerSecond;
   return static_cast<int>(
       std::min(std::ceil(busy_engines / settings_.hot_home_utilization),
                static_cast<double>(settings_.max_prefix_rank)));
@@ -232,7 +218,7 @@
     MonoTime now) const {
   const EngineModel& engine = model.engine();
   const auto prompt_tokens = static_cast<double>(request.prompt_tokens.value());
-  const double shared_tokens = SharedTokens(request);
+  const double shared_tokens = request.SharedTokens();
   const int prefix_rank = PrefixRank(server, index, lane);
   const bool in_lane = prefix_rank >= 0;
   // Any gateway that sent this prefix recently chose one of its home engines,
--- a/camphorsail/placement/placement.h
+++ b/camphorsail/placement/placement.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORSAIL_PLACEMENT_PLACEMENT_H_
 #define CAMPHORSAIL_PLACEMENT_PLACEMENT_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <vector>
 
@@ -34,6 +35,18 @@
   double slot_seconds = 1.5;
   /// Servers on which an attempt of this request has already failed.
   std::vector<BackendServerId> failed_servers;
+
+  /// @return Length of the part of the prompt that other requests may share.
+  double SharedTokens() const {
+    return prefixes.prefixes.empty()
+               ? 0
+               : static_cast<double>(prefixes.prefixes.back().tokens.value());
+  }
+  /// @return Length of the part that belongs to this request alone.
+  double UnsharedTokens() const {
+    return std::max(
+        0.0, static_cast<double>(prompt_tokens.value()) - SharedTokens());
+  }
 };
 
 /// The chosen server and the estimates behind the choice.
