Refusals because of overload name what they were decided on

The log of the incident could not tell its hypotheses apart: request_refused had neither the urgency, nor the server, nor the expected wait and its limit. It has them now, with the time that the caller waits and the least urgent request that began in the last 5 s. Urgency is a type of its own. No decision changes.

--- a/camphorsail/gateway/exchange.h
+++ b/camphorsail/gateway/exchange.h
@@ -10,6 +10,7 @@
 #include "camphorsail/base/ids.h"
 #include "camphorsail/base/mono_time.h"
 #include "camphorsail/base/ref.h"
+#include "camphorsail/base/urgency.h"
 #include "camphorsail/gateway/backend_connection.h"
 #include "camphorsail/gateway/caller_connection.h"
 #include "camphorsail/gateway/caller_request.h"
@@ -17,6 +18,7 @@
 #include "camphorsail/gateway/http_heads.h"
 #include "camphorsail/gateway/server_reply.h"
 #include "camphorsail/net/event_loop.h"
+#include "camphorsail/placement/admission_check.h"
 #include "camphorsail/placement/backend_server.h"
 #include "camphorsail/placement/placement.h"
 #include "camphorsail/routing/route_index.h"
@@ -72,9 +74,12 @@
   const Route* route = nullptr;
   const ServiceProfile* service = nullptr;
   ClientAccountId account;
-  /// Rank in the engine's queue, from 0, the most urgent, to 9.
-  int urgency = 0;
+  /// Rank in the engine's queue.
+  Urgency urgency;
   PlacementRequest placement;
+  /// What the refusal was decided on, if the request was refused because of
+  /// overload.
+  std::optional<AdmissionCheck> refused_by;
   MonoTime arrived_at;
   /// End of the time that the caller waits or that the route allows, whichever
   /// is earlier.
--- a/camphorsail/gateway/forward_parameters.h
+++ b/camphorsail/gateway/forward_parameters.h
@@ -6,6 +6,7 @@
 
 #include "absl/time/time.h"
 #include "camphorsail/base/ids.h"
+#include "camphorsail/base/urgency.h"
 
 namespace camphorsail {
 
@@ -19,8 +20,8 @@
   absl::Duration time_left;
   /// Account of the caller; empty on public routes.
   ClientAccountId account;
-  /// Rank in the engine's queue, from 0, the most urgent, to 9.
-  std::optional<int> urgency;
+  /// Rank in the engine's queue; nothing for a plain service.
+  std::optional<Urgency> urgency;
   /// Id of the event after which a stream is to be resumed.
   std::optional<uint64_t> last_event;
 };
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -355,7 +355,9 @@
     return;
   }
   BackendServer& server = *choice.server;
-  if (exchange->started_attempts == 0 && !CanMeetObjective(*exchange, choice)) {
+  const absl::Duration limit = AdmissionLimit(*exchange, server);
+  if (exchange->started_attempts == 0 && choice.expected > limit) {
+    exchange->refused_by = DescribeAdmission(*exchange, choice, limit);
     Refuse(
         exchange, ErrorKind::kOverloaded,
         "the start of the answer is expected later than the latency objective "
@@ -363,6 +365,7 @@
     return;
   }
   ++exchange->started_attempts;
+  model.starts().OnStarted(exchange->urgency, now);
   ExchangeAttempt& attempt = exchange->attempt.emplace();
   attempt.server = choice.server;
   attempt.started_at = now;
@@ -391,12 +394,12 @@
                             MakeHandlers(exchange));
 }
 
-bool Gateway::CanMeetObjective(const Exchange& exchange,
-                               const PlacementChoice& choice) const {
+absl::Duration Gateway::AdmissionLimit(const Exchange& exchange,
+                                       const BackendServer& server) const {
   const Route& route = *exchange.route;
   if (!exchange.service->is_engine || route.objective_ms == 0 ||
-      choice.server->Load(loop_->now()) < choice.server->slots) {
-    return true;
+      server.Load(loop_->now()) < server.slots) {
+    return absl::InfiniteDuration();
   }
   const absl::Duration objective = absl::Milliseconds(route.objective_ms);
   // A caller that retries after a refusal states less remaining time than the
@@ -405,10 +408,24 @@
   const absl::Duration age =
       std::max(absl::ZeroDuration(), absl::Milliseconds(route.timeout_ms) -
                                          exchange.request.caller_timeout);
-  const absl::Duration limit =
-      std::max(objective * kAdmissionObjectiveFraction - age,
-               objective * kLateAdmissionObjectiveFraction);
-  return choice.expected <= limit;
+  return std::max(objective * kAdmissionObjectiveFraction - age,
+                  objective * kLateAdmissionObjectiveFraction);
+}
+
+AdmissionCheck Gateway::DescribeAdmission(const Exchange& exchange,
+                                          const PlacementChoice& choice,
+                                          absl::Duration limit) {
+  const MonoTime now = loop_->now();
+  AdmissionCheck check;
+  check.server = choice.server->id;
+  check.load = choice.server->Load(now);
+  check.slots = choice.server->slots;
+  check.backlog = choice.server->PromptBacklog(now);
+  check.expected = choice.expected;
+  check.limit = limit;
+  check.candidates = choice.candidates;
+  check.least_urgent_start = ModelOf(exchange).starts().LeastUrgent(now);
+  return check;
 }
 
 std::string Gateway::BuildRequest(const Exchange& exchange,
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -112,10 +112,14 @@
   /// Starts an attempt on the best server, or refuses the request when there is
   /// no suitable server.
   void Dispatch(Exchange* exchange);
-  /// @return False when the answer is expected too late for the latency
-  /// objective of the route, so that the request should be refused instead.
-  bool CanMeetObjective(const Exchange& exchange,
-                        const PlacementChoice& choice) const;
+  /// @return Longest expected time to the start of the answer with which the
+  /// request is admitted on the server; infinite while the server has room.
+  absl::Duration AdmissionLimit(const Exchange& exchange,
+                                const BackendServer& server) const;
+  /// @return The inputs of the decision to refuse the request.
+  AdmissionCheck DescribeAdmission(const Exchange& exchange,
+                                   const PlacementChoice& choice,
+                                   absl::Duration limit);
   /// @return The request as it is sent to `server`.
   std::string BuildRequest(const Exchange& exchange,
                            const BackendServer& server,
--- a/camphorsail/gateway/gateway_telemetry.cc
+++ b/camphorsail/gateway/gateway_telemetry.cc
@@ -37,6 +37,20 @@
   }
 }
 
+/// Adds the inputs of a refusal because of overload.
+void DescribeAdmission(const AdmissionCheck& check, LogEvent* event) {
+  event->Add("server", check.server)
+      .Add("load", check.load)
+      .Add("slots", check.slots)
+      .Add("backlog_ms", absl::ToInt64Milliseconds(check.backlog))
+      .Add("expected_ms", absl::ToInt64Milliseconds(check.expected))
+      .Add("limit_ms", absl::ToInt64Milliseconds(check.limit))
+      .Add("candidates", check.candidates);
+  if (check.least_urgent_start.has_value()) {
+    event->Add("least_urgent_start", check.least_urgent_start->value());
+  }
+}
+
 }  // namespace
 
 GatewayTelemetry::GatewayTelemetry(Metrics* metrics) : metrics_(metrics) {
@@ -69,7 +83,7 @@
   LogEvent("attempt_started")
       .Add("request", exchange.request.request_id)
       .Add("route", exchange.route->name)
-      .Add("urgency", exchange.urgency)
+      .Add("urgency", exchange.urgency.value())
       .Add("tries", exchange.started_attempts)
       .Add("server", attempt.server->id)
       .Add("place", attempt.prefix_rank)
@@ -109,6 +123,12 @@
   LogEvent event("request_refused", LogLevel::kWarning);
   Describe(exchange, now, &event);
   DescribeAnswer(exchange, &event);
+  if (exchange.refused_by.has_value()) {
+    event.Add("urgency", exchange.urgency.value())
+        .Add("caller_timeout_ms",
+             absl::ToInt64Milliseconds(exchange.request.caller_timeout));
+    DescribeAdmission(*exchange.refused_by, &event);
+  }
   event.Add("code", code).Add("reason", reason);
 }
 
--- a/camphorsail/placement/service_model.h
+++ b/camphorsail/placement/service_model.h
@@ -6,6 +6,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "camphorsail/placement/engine_model.h"
+#include "camphorsail/placement/recent_starts.h"
 #include "camphorsail/placement/route_profile.h"
 #include "camphorsail/routing/route.h"
 
@@ -52,6 +53,7 @@
   }
   EngineModel& engine() { return engine_; }
   const EngineModel& engine() const { return engine_; }
+  RecentStarts& starts() { return starts_; }
 
  private:
   struct RouteEntry {
@@ -65,6 +67,7 @@
   void Split();
 
   EngineModel engine_;
+  RecentStarts starts_;
   absl::flat_hash_map<std::string, RouteEntry> routes_;
   Lane interactive_;
   Lane bulk_;
--- a/camphorsail/routing/route_index.cc
+++ b/camphorsail/routing/route_index.cc
@@ -46,14 +46,15 @@
   ranks_.assign(ranks.begin(), ranks.end());
 }
 
-int RouteIndex::UrgencyOf(const AccountKeys* account,
-                          const Route& route) const {
+Urgency RouteIndex::UrgencyOf(const AccountKeys* account,
+                              const Route& route) const {
   const auto found =
       std::lower_bound(ranks_.begin(), ranks_.end(),
                        std::make_pair(AccountRank(account), route.rank));
   const auto position = static_cast<int>(found - ranks_.begin());
   const int count = std::max(kUrgencyLevels, static_cast<int>(ranks_.size()));
-  return std::min(position * kUrgencyLevels / count, kUrgencyLevels - 1);
+  return Urgency(
+      std::min(position * kUrgencyLevels / count, kUrgencyLevels - 1));
 }
 
 const Route* RouteIndex::FindRoute(std::string_view host,
--- a/camphorsail/routing/route_index.h
+++ b/camphorsail/routing/route_index.h
@@ -8,6 +8,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "camphorsail/base/ref.h"
+#include "camphorsail/base/urgency.h"
 #include "camphorsail/routing/routing_table.h"
 
 namespace camphorsail {
@@ -31,17 +32,13 @@
   /// unknown.
   const AccountKeys* FindAccount(std::string_view api_key) const;
 
-  /// Number of urgency levels that model engines distinguish.
-  static constexpr int kUrgencyLevels = 10;
-
   /// Computes the urgency level of a request from the rank of its account and,
   /// among accounts of equal rank, from the rank of its route. Each pair of
   /// ranks that the table allows has its own level; when there are more pairs
   /// than levels, adjacent pairs share a level.
   /// @param account Null on public routes.
-  /// @return The level, from 0 (most urgent) to `kUrgencyLevels` - 1, which is
-  /// sent to the engine.
-  int UrgencyOf(const AccountKeys* account, const Route& route) const;
+  /// @return The level, which is sent to the engine.
+  Urgency UrgencyOf(const AccountKeys* account, const Route& route) const;
 
   /// @return The service; null when the table does not list it.
   const ServiceProfile* FindService(const ModelId& service) const;
--- a/tests/unit/platform/platform_test.cc
+++ b/tests/unit/platform/platform_test.cc
@@ -127,7 +127,7 @@
   parameters.server = BackendServerId("i-1");
   parameters.time_left = absl::Milliseconds(1500);
   parameters.account = ClientAccountId("t1");
-  parameters.urgency = 4;
+  parameters.urgency = Urgency(4);
   parameters.last_event = 12;
   dialect.write_forward_headers(parameters, &headers);
   EXPECT_EQ(headers.Count("Credential"), 0U);
--- a/tests/unit/routing/route_index_test.cc
+++ b/tests/unit/routing/route_index_test.cc
@@ -70,14 +70,14 @@
         MakeRoute("r", "a", "/" + std::to_string(i) + "/", i));
   }
   const RouteIndex index = MakeIndex(table);
-  int last = 0;
+  Urgency last(0);
   for (const Route& route : index.table().routes) {
-    const int urgency = index.UrgencyOf(nullptr, route);
+    const Urgency urgency = index.UrgencyOf(nullptr, route);
     EXPECT_GE(urgency, last);
-    EXPECT_LT(urgency, RouteIndex::kUrgencyLevels);
+    EXPECT_LT(urgency, Urgency(kUrgencyLevels));
     last = urgency;
   }
-  EXPECT_EQ(last, RouteIndex::kUrgencyLevels - 1);
+  EXPECT_EQ(last, Urgency(kUrgencyLevels - 1));
 }
 
 }  // namespace
