--- a/tests/fakes/gateway/test_dialect.h
+++ b/tests/fakes/gateway/test_dialect.h
@@ -24,6 +24,9 @@
     if (const std::string* ms = head.headers.Find("X-Patience")) {
       request.caller_timeout = absl::Milliseconds(std::atoi(ms->c_str()));
     }
+    if (const std::string* tokens = head.headers.Find("X-Prompt")) {
+      request.prompt_tokens = Tokens(std::atoi(tokens->c_str()));
+    }
     return request;
   };
   dialect.write_forward_headers = [](const ForwardParameters& parameters,
