The admission limit does not depend on the time that the caller waits

Callers of routes with a short objective were refused at 0.4 of it, most of them at their first try. The gateway cannot tell a retry from a first try, so every request gets the same limit. CallerThatWaitsForLessIsAdmittedAlike failed before.

--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -25,11 +25,6 @@
 /// answer is expected later than this fraction of the latency objective,
 /// because a late answer has little value and delays other requests.
 constexpr double kAdmissionObjectiveFraction = 0.9;
-/// As `kAdmissionObjectiveFraction`, for a request that has already used up
-/// most of its objective in earlier requests of the caller, which the caller
-/// retries with this one: such a request is still served when the remaining
-/// wait is short.
-constexpr double kLateAdmissionObjectiveFraction = 0.4;
 /// Separates the random numbers for the choice of route targets from those of
 /// the placement, which has the same seed. ASCII "route".
 constexpr uint64_t kTargetChoiceSeedMask = 0x726f757465;
@@ -401,15 +396,9 @@
       server.Load(loop_->now()) < server.slots) {
     return absl::InfiniteDuration();
   }
-  const absl::Duration objective = absl::Milliseconds(route.objective_ms);
-  // A caller that retries after a refusal states less remaining time than the
-  // route allows. The difference is the time that has passed since its first
-  // request, from which the latency objective counts.
-  const absl::Duration age =
-      std::max(absl::ZeroDuration(), absl::Milliseconds(route.timeout_ms) -
-                                         exchange.request.caller_timeout);
-  return std::max(objective * kAdmissionObjectiveFraction - age,
-                  objective * kLateAdmissionObjectiveFraction);
+  // The time that the caller still waits does not tell how long it has waited:
+  // some callers wait for less than the route allows from the start.
+  return absl::Milliseconds(route.objective_ms) * kAdmissionObjectiveFraction;
 }
 
 AdmissionCheck Gateway::DescribeAdmission(const Exchange& exchange,
