Placement: the expected wait is that of a queue by urgency

Engines serve by urgency, but the estimate put every request in the slots and every unread prompt in front of a new one: too long for urgent requests, of which those admitted at such engines began within 42 ms (median), and too short for the others. The gateways now count requests and unread prompts by urgency, also those that they tell each other; what an older release does not tell counts as in front. The cost of the delay of other streams is as before.

UrgentStreamIsNotRefusedForLessUrgentPrompts failed before.

--- a/camphorsail/gateway/backend_fleet.cc
+++ b/camphorsail/gateway/backend_fleet.cc
@@ -30,12 +30,9 @@
 std::vector<GatewayServerLoad> BackendFleet::TakeLoads(MonoTime now) {
   std::vector<GatewayServerLoad> loads;
   for (const auto& [id, server] : servers_) {
-    const uint32_t answers = server->TakeAnswers();
-    if (server->in_flight() > 0 || answers > 0) {
-      loads.push_back({server->hash, static_cast<uint32_t>(server->in_flight()),
-                       static_cast<uint32_t>(
-                           absl::ToInt64Milliseconds(server->OwnBacklog(now))),
-                       answers});
+    const GatewayServerLoad load = server->TakeOwnLoad(now);
+    if (load.in_flight > 0 || load.answers > 0) {
+      loads.push_back(load);
     }
   }
   return loads;
--- a/camphorsail/gateway/exchange.h
+++ b/camphorsail/gateway/exchange.h
@@ -10,7 +10,6 @@
 #include "camphorsail/base/ids.h"
 #include "camphorsail/base/mono_time.h"
 #include "camphorsail/base/ref.h"
-#include "camphorsail/base/urgency.h"
 #include "camphorsail/gateway/backend_connection.h"
 #include "camphorsail/gateway/caller_connection.h"
 #include "camphorsail/gateway/caller_request.h"
@@ -74,8 +73,6 @@
   const Route* route = nullptr;
   const ServiceProfile* service = nullptr;
   ClientAccountId account;
-  /// Rank in the engine's queue.
-  Urgency urgency;
   PlacementRequest placement;
   /// What the refusal was decided on, if the request was refused because of
   /// overload.
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -268,7 +268,7 @@
     }
     exchange->account = account->account;
   }
-  exchange->urgency = index.UrgencyOf(account, route);
+  exchange->placement.urgency = index.UrgencyOf(account, route);
   if (draining_ && now >= drain_since_ + kDrainAdmissionTime) {
     return Fail(ErrorKind::kShuttingDown, "the gateway is shutting down");
   }
@@ -360,7 +360,7 @@
     return;
   }
   ++exchange->started_attempts;
-  model.starts().OnStarted(exchange->urgency, now);
+  model.starts().OnStarted(exchange->placement.urgency, now);
   ExchangeAttempt& attempt = exchange->attempt.emplace();
   attempt.server = choice.server;
   attempt.started_at = now;
@@ -371,8 +371,8 @@
   attempt.load = server.Load(now);
   attempt.is_server_idle = server.PromptBacklog(now) <= absl::ZeroDuration() &&
                            attempt.load < server.slots;
-  attempt.number = server.OnDispatch(choice.prefill,
-                                     exchange->placement.is_interactive, now);
+  attempt.number =
+      server.OnDispatch(choice.prefill, exchange->placement.urgency, now);
   server.prefixes.Record(exchange->placement.prefixes, now);
   attempt.connection = pool_.Take(server.address);
   telemetry_.OnAttemptStarted(*exchange, choice);
@@ -433,7 +433,7 @@
   parameters.time_left = exchange.deadline - now;
   parameters.account = exchange.account;
   if (exchange.service->is_engine) {
-    parameters.urgency = exchange.urgency;
+    parameters.urgency = exchange.placement.urgency;
   }
   parameters.last_event = exchange.last_event;
   dialect_.write_forward_headers(parameters, &headers);
--- a/camphorsail/gateway/gateway_answer.cc
+++ b/camphorsail/gateway/gateway_answer.cc
@@ -97,7 +97,8 @@
   if (exchange->wait == absl::ZeroDuration()) {
     exchange->wait = now - exchange->arrived_at;
   }
-  attempt.server->OnPromptDone(attempt.prefill, now);
+  attempt.server->OnPromptDone(attempt.prefill, exchange->placement.urgency,
+                               now);
   attempt.server->OnFirstAnswer(attempt.number, now);
   attempt.server->health.OnSuccess(now);
   ServiceModel& model = ModelOf(*exchange);
@@ -331,10 +332,11 @@
   const MonoTime now = loop_->now();
   ExchangeAttempt& attempt = *exchange->attempt;
   if (!attempt.has_answer) {
-    attempt.server->OnPromptDone(attempt.prefill, now);
+    attempt.server->OnPromptDone(attempt.prefill, exchange->placement.urgency,
+                                 now);
   }
   answers_.Update(0, &attempt.held_bytes);
-  attempt.server->OnFinished(exchange->placement.is_interactive, now);
+  attempt.server->OnFinished(exchange->placement.urgency);
   BackendConnection* connection = std::exchange(attempt.connection, nullptr);
   if (cancel && connection != nullptr) {
     connection->Cancel();
--- a/camphorsail/gateway/gateway_telemetry.cc
+++ b/camphorsail/gateway/gateway_telemetry.cc
@@ -83,7 +83,7 @@
   LogEvent("attempt_started")
       .Add("request", exchange.request.request_id)
       .Add("route", exchange.route->name)
-      .Add("urgency", exchange.urgency.value())
+      .Add("urgency", exchange.placement.urgency.value())
       .Add("tries", exchange.started_attempts)
       .Add("server", attempt.server->id)
       .Add("place", attempt.prefix_rank)
@@ -124,7 +124,7 @@
   Describe(exchange, now, &event);
   DescribeAnswer(exchange, &event);
   if (exchange.refused_by.has_value()) {
-    event.Add("urgency", exchange.urgency.value())
+    event.Add("urgency", exchange.placement.urgency.value())
         .Add("caller_timeout_ms",
              absl::ToInt64Milliseconds(exchange.request.caller_timeout));
     DescribeAdmission(*exchange.refused_by, &event);
--- a/camphorsail/placement/backend_server.cc
+++ b/camphorsail/placement/backend_server.cc
@@ -1,6 +1,7 @@
 #include "camphorsail/placement/backend_server.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace camphorsail {
 namespace {
@@ -22,14 +23,17 @@
 }  // namespace
 
 uint64_t BackendServer::OnDispatch(absl::Duration prefill,
-                                   bool is_interactive,
+                                   Urgency urgency,
                                    MonoTime now) {
   ++in_flight_;
-  interactive_streams_ += is_interactive ? 1 : 0;
-  if (unread_prefill_ <= absl::ZeroDuration()) {
+  own_requests_.Add(urgency, 1);
+  const bool was_idle = std::all_of(
+      unread_prefill_.begin(), unread_prefill_.end(),
+      [](absl::Duration unread) { return unread <= absl::ZeroDuration(); });
+  if (was_idle) {
     reading_since_ = now;
   }
-  unread_prefill_ += prefill;
+  unread_prefill_[urgency.value()] += prefill;
   return ++last_number_;
 }
 
@@ -56,14 +60,35 @@
   return overtaken >= kMinOvertakingAnswers;
 }
 
-void BackendServer::OnPromptDone(absl::Duration prefill, MonoTime now) {
-  unread_prefill_ = std::max(absl::ZeroDuration(), unread_prefill_ - prefill);
+void BackendServer::OnPromptDone(absl::Duration prefill,
+                                 Urgency urgency,
+                                 MonoTime now) {
+  absl::Duration& unread = unread_prefill_[urgency.value()];
+  unread = std::max(absl::ZeroDuration(), unread - prefill);
   reading_since_ = now;
 }
 
-void BackendServer::OnFinished(bool is_interactive, MonoTime /*now*/) {
+void BackendServer::OnFinished(Urgency urgency) {
   --in_flight_;
-  interactive_streams_ -= is_interactive ? 1 : 0;
+  own_requests_.Remove(urgency, 1);
+}
+
+GatewayServerLoad BackendServer::TakeOwnLoad(MonoTime now) {
+  GatewayServerLoad load;
+  load.server = hash;
+  load.in_flight = static_cast<uint32_t>(in_flight_);
+  load.answers = std::exchange(new_answers_, 0);
+  load.requests_by_urgency = own_requests_;
+  // The engine reads the most urgent prompts first, so that what it has read
+  // since it finished the latest prompt is taken from these.
+  for (int level = 0; level < kUrgencyLevels; ++level) {
+    const auto backlog_ms = static_cast<uint32_t>(
+        absl::ToInt64Milliseconds(OwnBacklogUpTo(Urgency(level), now)));
+    load.backlog_ms_by_urgency.Add(Urgency(level),
+                                   backlog_ms - load.backlog_ms);
+    load.backlog_ms = backlog_ms;
+  }
+  return load;
 }
 
 void BackendServer::OnReport(const ReportedLoad& load, MonoTime now) {
@@ -86,8 +111,12 @@
   }
 }
 
+bool BackendServer::KnowsOtherGateways(MonoTime now) const {
+  return now - other_gateways_at_ < kSharedLoadLifetime;
+}
+
 double BackendServer::OtherGatewaysLoad(MonoTime now) const {
-  if (now - other_gateways_at_ < kSharedLoadLifetime) {
+  if (KnowsOtherGateways(now)) {
     return other_gateways_.in_flight;
   }
   const int others =
@@ -95,20 +124,34 @@
   return std::max(0, others) * ReportWeight(now);
 }
 
-absl::Duration BackendServer::PromptBacklog(MonoTime now) const {
-  if (now - other_gateways_at_ >= kSharedLoadLifetime) {
-    return OwnBacklog(now);
+double BackendServer::LoadUpTo(Urgency urgency, MonoTime now) const {
+  double less_urgent = own_requests_.LessUrgentThan(urgency);
+  if (KnowsOtherGateways(now)) {
+    less_urgent += other_gateways_.requests_by_urgency.LessUrgentThan(urgency);
   }
-  return OwnBacklog(now) +
-         std::max(absl::ZeroDuration(),
-                  absl::Milliseconds(other_gateways_.backlog_ms) -
-                      (now - other_gateways_at_));
+  return Load(now) - less_urgent;
 }
 
-absl::Duration BackendServer::OwnBacklog(MonoTime now) const {
+absl::Duration BackendServer::BacklogUpTo(Urgency urgency, MonoTime now) const {
+  const absl::Duration own = OwnBacklogUpTo(urgency, now);
+  if (!KnowsOtherGateways(now)) {
+    return own;
+  }
+  const uint32_t others_ms =
+      other_gateways_.backlog_ms -
+      other_gateways_.backlog_ms_by_urgency.LessUrgentThan(urgency);
+  return own + std::max(absl::ZeroDuration(), absl::Milliseconds(others_ms) -
+                                                  (now - other_gateways_at_));
+}
+
+absl::Duration BackendServer::OwnBacklogUpTo(Urgency urgency,
+                                             MonoTime now) const {
+  absl::Duration unread;
+  for (int level = 0; level <= urgency.value(); ++level) {
+    unread += unread_prefill_[level];
+  }
   // The engine has been reading prompts since the latest one was finished.
-  return std::max(absl::ZeroDuration(),
-                  unread_prefill_ - (now - reading_since_));
+  return std::max(absl::ZeroDuration(), unread - (now - reading_since_));
 }
 
 }  // namespace camphorsail
--- a/camphorsail/placement/backend_server.h
+++ b/camphorsail/placement/backend_server.h
@@ -1,9 +1,9 @@
 #ifndef CAMPHORSAIL_PLACEMENT_BACKEND_SERVER_H_
 #define CAMPHORSAIL_PLACEMENT_BACKEND_SERVER_H_
 
+#include <array>
 #include <cstdint>
 #include <deque>
-#include <utility>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -11,10 +11,12 @@
 #include "camphorsail/base/mono_time.h"
 #include "camphorsail/base/network_address.h"
 #include "camphorsail/base/ref.h"
+#include "camphorsail/base/urgency.h"
 #include "camphorsail/placement/attempt_health.h"
 #include "camphorsail/placement/gateway_server_load.h"
 #include "camphorsail/placement/recent_prefixes.h"
 #include "camphorsail/placement/reported_load.h"
+#include "camphorsail/placement/urgency_counts.h"
 
 namespace camphorsail {
 
@@ -45,13 +47,9 @@
 
   /// Counts a request that is sent to the server.
   /// @param prefill Expected time to read the request's prompt; zero for calls.
-  /// @param is_interactive True for a stream with a short latency objective for
-  /// its first event.
   /// @return Sequence number of the request on this server, in the order of
   /// dispatch.
-  uint64_t OnDispatch(absl::Duration prefill,
-                      bool is_interactive,
-                      MonoTime now);
+  uint64_t OnDispatch(absl::Duration prefill, Urgency urgency, MonoTime now);
   /// Records that the first event or the whole answer of a request has arrived.
   /// @param number Sequence number of the request, from `OnDispatch`.
   void OnFirstAnswer(uint64_t number, MonoTime now);
@@ -60,13 +58,11 @@
   /// no request of any gateway since `dispatched_at`, or has answered several
   /// that this gateway sent later, or is not busy.
   bool IsStuck(uint64_t number, MonoTime dispatched_at, MonoTime now) const;
-  /// @return Answers of the server to this gateway since the last call.
-  uint32_t TakeAnswers() { return std::exchange(new_answers_, 0); }
   /// Records that the server has read a request's prompt, or that the attempt
   /// ended before that.
-  void OnPromptDone(absl::Duration prefill, MonoTime now);
+  void OnPromptDone(absl::Duration prefill, Urgency urgency, MonoTime now);
   /// Records that a request on the server has ended.
-  void OnFinished(bool is_interactive, MonoTime now);
+  void OnFinished(Urgency urgency);
   /// Takes the load that the server reports in an answer.
   void OnReport(const ReportedLoad& load, MonoTime now);
   /// Takes the load that the other gateways together have on the server.
@@ -74,22 +70,32 @@
 
   /// @return Requests of this gateway on the server.
   int in_flight() const { return in_flight_; }
-  /// @return Interactive streams of this gateway on the server.
-  int interactive_streams() const { return interactive_streams_; }
+  /// @return Load of this gateway on the server, for the other gateways.
+  GatewayServerLoad TakeOwnLoad(MonoTime now);
   /// @return Estimated requests of all gateways on the server.
   double Load(MonoTime now) const {
     return in_flight_ + OtherGatewaysLoad(now);
   }
   /// @return Estimated requests of the other gateways on the server.
   double OtherGatewaysLoad(MonoTime now) const;
-  /// @return Time until the engine has read all prompts that this gateway has
-  /// sent to it.
-  absl::Duration OwnBacklog(MonoTime now) const;
+  /// @return Estimated requests of all gateways on the server that are at least
+  /// as urgent.
+  double LoadUpTo(Urgency urgency, MonoTime now) const;
   /// @return Estimated time until the engine has read the prompts of all
   /// gateways.
-  absl::Duration PromptBacklog(MonoTime now) const;
+  absl::Duration PromptBacklog(MonoTime now) const {
+    return BacklogUpTo(Urgency(kUrgencyLevels - 1), now);
+  }
+  /// @return Estimated time until the engine has read all prompts that are at
+  /// least as urgent, which it reads first.
+  absl::Duration BacklogUpTo(Urgency urgency, MonoTime now) const;
 
  private:
+  /// @return True while the load that the other gateways share is recent.
+  bool KnowsOtherGateways(MonoTime now) const;
+  /// @return Time until the engine has read all prompts of this gateway that
+  /// are at least as urgent.
+  absl::Duration OwnBacklogUpTo(Urgency urgency, MonoTime now) const;
   /// @return Weight of the latest load report, from 1 when it is new to 0 when
   /// it has expired.
   double ReportWeight(MonoTime now) const;
@@ -107,7 +113,8 @@
   MonoTime answered_others_at_;
   uint32_t new_answers_ = 0;
   int in_flight_ = 0;
-  int interactive_streams_ = 0;
+  /// The same requests by urgency.
+  UrgencyCounts own_requests_;
   ReportedLoad report_;
   MonoTime reported_at_;
   /// Requests of this gateway on the server when the report arrived.
@@ -116,8 +123,8 @@
   GatewayServerLoad other_gateways_;
   MonoTime other_gateways_at_;
   /// Expected prefill time of the prompts that were sent to the engine and
-  /// whose first token has not arrived.
-  absl::Duration unread_prefill_;
+  /// whose first token has not arrived, by urgency.
+  std::array<absl::Duration, kUrgencyLevels> unread_prefill_;
   /// When the engine began to read the first of these prompts.
   MonoTime reading_since_;
 };
--- a/camphorsail/placement/gateway_server_load.h
+++ b/camphorsail/placement/gateway_server_load.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <vector>
 
+#include "camphorsail/placement/urgency_counts.h"
 #include "msgpack.hpp"
 
 namespace camphorsail {
@@ -21,8 +22,35 @@
   uint32_t backlog_ms = 0;
   /// First events and whole answers that arrived since the report before.
   uint32_t answers = 0;
+  /// The parts of `in_flight` and `backlog_ms` whose urgency is known. What is
+  /// missing, from a gateway of an older release, counts as most urgent.
+  UrgencyCounts requests_by_urgency{};
+  UrgencyCounts backlog_ms_by_urgency{};
 
-  MSGPACK_DEFINE(server, in_flight, backlog_ms, answers)
+  GatewayServerLoad& operator+=(const GatewayServerLoad& other) {
+    in_flight += other.in_flight;
+    backlog_ms += other.backlog_ms;
+    answers += other.answers;
+    requests_by_urgency += other.requests_by_urgency;
+    backlog_ms_by_urgency += other.backlog_ms_by_urgency;
+    return *this;
+  }
+  /// @param other A load that was added before.
+  GatewayServerLoad& operator-=(const GatewayServerLoad& other) {
+    in_flight -= other.in_flight;
+    backlog_ms -= other.backlog_ms;
+    answers -= other.answers;
+    requests_by_urgency -= other.requests_by_urgency;
+    backlog_ms_by_urgency -= other.backlog_ms_by_urgency;
+    return *this;
+  }
+
+  MSGPACK_DEFINE(server,
+                 in_flight,
+                 backlog_ms,
+                 answers,
+                 requests_by_urgency,
+                 backlog_ms_by_urgency)
 };
 
 /// Sum of the loads of several gateways, by server.
@@ -33,18 +61,13 @@
     for (const GatewayServerLoad& load : loads) {
       GatewayServerLoad& sum = sums_[load.server];
       sum.server = load.server;
-      sum.in_flight += load.in_flight;
-      sum.backlog_ms += load.backlog_ms;
-      sum.answers += load.answers;
+      sum += load;
     }
   }
   /// Subtracts loads that were added by `Add` before.
   void Subtract(const std::vector<GatewayServerLoad>& loads) {
     for (const GatewayServerLoad& load : loads) {
-      GatewayServerLoad& sum = sums_[load.server];
-      sum.in_flight -= load.in_flight;
-      sum.backlog_ms -= load.backlog_ms;
-      sum.answers -= load.answers;
+      sums_[load.server] -= load;
     }
   }
   /// @return The sums of the servers that have any load.
--- a/camphorsail/placement/placement.cc
+++ b/camphorsail/placement/placement.cc
@@ -209,6 +209,21 @@
                     1.0);
 }
 
+double Placement::QueueMs(const BackendServer& server,
+                          const PlacementRequest& request,
+                          MonoTime now) {
+  // A request that finds no free slot takes the next one that becomes free,
+  // unless requests that are at least as urgent wait too.
+  const double for_a_slot =
+      std::clamp(server.Load(now) + 1 - server.slots, 0.0, 1.0);
+  const double behind_others =
+      server.LoadUpTo(request.urgency, now) + 1 - server.slots;
+  const double places = std::max(for_a_slot, behind_others);
+  return absl::ToDoubleMilliseconds(server.BacklogUpTo(request.urgency, now)) *
+             kInterleavingSlowdown +
+         places * request.slot_seconds * kMsPerSecond / server.slots;
+}
+
 Placement::Estimate Placement::EstimateGeneration(
     const BackendServer& server,
     size_t index,
@@ -237,15 +252,11 @@
   estimate.uncached_tokens = std::max(0.0, prompt_tokens - cached_tokens);
   estimate.prefill_ms = engine.PrefillMs(estimate.uncached_tokens);
   const double load = server.Load(now);
-  const double excess_requests = std::max(0.0, load + 1 - server.slots);
   const double backlog_ms =
       absl::ToDoubleMilliseconds(server.PromptBacklog(now));
-  const double queue_ms =
-      backlog_ms * kInterleavingSlowdown +
-      excess_requests * request.slot_seconds * kMsPerSecond / server.slots;
-  estimate.expected_ms =
-      (queue_ms + estimate.prefill_ms + engine.FirstEventMs()) *
-      server.health.Slowdown(now);
+  estimate.expected_ms = (QueueMs(server, request, now) + estimate.prefill_ms +
+                          engine.FirstEventMs()) *
+                         server.health.Slowdown(now);
   estimate.cost = WaitCost(estimate.expected_ms / ObjectiveMs(request)) +
                   settings_.load_cost * load / server.slots;
   if (prompt_tokens > 0) {
--- a/camphorsail/placement/placement.h
+++ b/camphorsail/placement/placement.h
@@ -8,6 +8,7 @@
 #include "absl/time/time.h"
 #include "camphorsail/base/ids.h"
 #include "camphorsail/base/random.h"
+#include "camphorsail/base/urgency.h"
 #include "camphorsail/placement/backend_server.h"
 #include "camphorsail/placement/engine_demand.h"
 #include "camphorsail/placement/placement_settings.h"
@@ -22,6 +23,8 @@
   /// True for a request to a model engine, false for a call to a plain service,
   /// which is a service that is not a model engine.
   bool is_generation = false;
+  /// Rank in the queue of a model engine.
+  Urgency urgency;
   Tokens prompt_tokens;
   PromptPrefixes prefixes;
   /// False for a request of the bulk lane, see `ServiceModel`.
@@ -167,6 +170,12 @@
                               const Lane& lane,
                               const ServiceModel& model,
                               MonoTime now) const;
+  /// @return Expected wait of the request for a slot of the server and for the
+  /// prompts that the engine reads before its own, in milliseconds. An engine
+  /// serves its requests by urgency.
+  static double QueueMs(const BackendServer& server,
+                        const PlacementRequest& request,
+                        MonoTime now);
   Estimate EstimateCall(const BackendServer& server,
                         const PlacementRequest& request,
                         const ServiceModel& model,
