A refusal after a possible run does not say that nothing ran

Callers of routes that may be repeated got 503 with request_was_run=no when the first server may have run the request and no other server, or no lease, was left for the next attempt. Cause: the retry was refused by the reason at hand without a look at the attempts before. Every refusal goes through Gateway::Refuse, which now answers 502 in that case. RefusalAfterAPossibleRunSaysSo fails without the change (run below).

--- a/camphorsail/gateway/gateway_answer.cc
+++ b/camphorsail/gateway/gateway_answer.cc
@@ -351,6 +351,11 @@
 void Gateway::Refuse(Exchange* exchange,
                      ErrorKind kind,
                      std::string_view reason) {
+  if (exchange->possible_runs > 0 &&
+      GetErrorTraits(kind).request_was_run == RequestWasRun::kNo) {
+    // An earlier attempt may have run the request.
+    kind = ErrorKind::kBackendFailed;
+  }
   telemetry_.OnRefused(*exchange, kind, reason, loop_->now());
   if (exchange->route != nullptr && GetErrorTraits(kind).counts_as_refused) {
     refusals_.Add(exchange->account, ClassId(exchange->route->name), kind);
--- a/tests/unit/gateway/gateway_test.cc
+++ b/tests/unit/gateway/gateway_test.cc
@@ -443,5 +443,19 @@
   EXPECT_TRUE(WaitFor(&caller, "whole"));
 }
 
+// A call that a server may have run finds no other server. The refusal must not
+// say that it has not run.
+TEST_F(GatewayTest, RefusalAfterAPossibleRunSaysSo) {
+  ServerRegistry::Changes changes;
+  changes.removed = {BackendServerId("s1")};
+  gateway_.fleet().Apply(changes, registry_);
+  RawSocket caller = Call("/safe/x");
+  RawSocket* server = NextAttempt();
+  ASSERT_NE(server, nullptr);
+  server->Reset();
+  ASSERT_TRUE(WaitFor(&caller, "HTTP/1.1 502"));
+  EXPECT_FALSE(caller.Has("\"request_was_run\":\"no\""));
+}
+
 }  // namespace
 }  // namespace camphorsail
