--- a/tests/unit/gateway/gateway_test.cc
+++ b/tests/unit/gateway/gateway_test.cc
@@ -443,6 +443,80 @@
   EXPECT_TRUE(WaitFor(&caller, "whole"));
 }
 
+// A faulty server writes an earlier refusal once more. The call that then waits
+// on the connection has been sent, so that it must neither be answered as not
+// run nor be sent to another server.
+TEST_F(GatewayTest, LateSecondRefusalIsNotTakenForTheNextCall) {
+  const std::string refusal = Answer("503 Full", "X-Not-Run: 1\r\n", "");
+  RawSocket first = Call("/unsafe/x");
+  RawSocket* refusing = NextAttempt();
+  ASSERT_NE(refusing, nullptr);
+  refusing->Write(refusal);
+  RawSocket* serving = NextAttempt();
+  ASSERT_NE(serving, nullptr);
+  serving->Write(Answer("200 OK", kSigned, "first"));
+  ASSERT_TRUE(WaitFor(&first, "first"));
+
+  // Calls are sent until one is on the connection of the refusal.
+  constexpr int kMaxCalls = 40;
+  for (int i = 0; i < kMaxCalls; ++i) {
+    RawSocket second = RawSocket::Connect(gateway_.callers_port());
+    second.Write(
+        "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Id: 43\r\nX-Key: key\r\n"
+        "Content-Length: 4\r\n\r\nbody");
+    RawSocket* next = NextAttempt();
+    ASSERT_NE(next, nullptr);
+    if (next == refusing) {
+      refusing->Write(refusal);
+      ASSERT_TRUE(WaitFor(&second, "HTTP/1.1 502"));
+      EXPECT_FALSE(second.Has("\"request_was_run\":\"no\""));
+      EXPECT_TRUE(NoFurtherAttempt());
+      return;
+    }
+    next->Write(
+        "HTTP/1.1 200 OK\r\nX-Id: 43\r\nX-Signature: s\r\n"
+        "Content-Length: 0\r\n\r\n");
+    ASSERT_TRUE(WaitFor(&second, "HTTP/1.1 200"));
+  }
+  FAIL() << "the connection was not used again";
+}
+
+// A server stops in the middle of its answer's head. A parser that takes the
+// end of the connection for the end of the head would make it a whole answer
+// without a body.
+TEST_F(GatewayTest, HeadThatIsCutIsNoAnswer) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-Id: 42\r\nX-Signature: s\r\n"
+      "Content-Length: 0\r\n\r\n";
+  for (size_t size = 1; size < head.size(); size += 3) {
+    RawSocket caller = Call("/unsafe/x");
+    RawSocket* server = NextAttempt();
+    ASSERT_NE(server, nullptr);
+    server->Write(head.substr(0, size));
+    server->ShutdownWrite();
+    ASSERT_TRUE(WaitFor(&caller, "HTTP/1.1 502")) << size;
+  }
+}
+
+// A stream has begun and breaks off; the server that is to go on with it
+// answers with an error, whose text belongs in no stream.
+TEST_F(GatewayTest, ErrorOfTheNextServerIsNotWrittenIntoAStream) {
+  for (const std::string status : {"500 Error", "503 Full", "404 Not Found"}) {
+    RawSocket caller = Call("/stream/x");
+    RawSocket* server = NextAttempt();
+    ASSERT_NE(server, nullptr);
+    server->Write(StreamHead("a") + "f\r\nid: 0\ndata: a\n\n\r\n");
+    ASSERT_TRUE(WaitFor(&caller, "data: a"));
+    server->Reset();
+    RawSocket* next = NextAttempt();
+    ASSERT_NE(next, nullptr);
+    next->Write(Answer(status, kSigned, "no such thing"));
+    ASSERT_TRUE(driver_.RunUntil([&] { return caller.HasEnded(); }));
+    EXPECT_FALSE(caller.Has("no such thing")) << status;
+    EXPECT_FALSE(caller.Has("0\r\n\r\n")) << status;
+  }
+}
+
 // A call that a server may have run finds no other server. The refusal must not
 // say that it has not run.
 TEST_F(GatewayTest, RefusalAfterAPossibleRunSaysSo) {
