Gateways obey servers that leave or ask for a pause in their answers

The gateway read neither header, so that the next request could go to the same server at once and be cut or turned away. Both are decoded in platform/ and kept in ServerWishes, apart from health: leaving is final for the incarnation, also when a late announcement names it again, and idle connections to it are closed; a pause lasts for its time (60 s at most, up to a tenth longer, so that the gateways do not come back together), then one request in 200 ms until one is answered. When all servers of a service pause, the caller is told at once when the first one ends.

ServerThatSaysItLeavesGetsNoFurtherRequests and RestingServersGetNoRequests fail on the code before, which has no such state.

--- a/camphorsail/gateway/backend_connection_pool.cc
+++ b/camphorsail/gateway/backend_connection_pool.cc
@@ -42,6 +42,17 @@
   return connection;
 }
 
+void BackendConnectionPool::CloseIdleTo(const NetworkAddress& address) {
+  const auto found = idle_.find(ToString(address));
+  if (found == idle_.end()) {
+    return;
+  }
+  const Connections idle = std::exchange(found->second, {});
+  for (BackendConnection* connection : idle) {
+    connection->Cancel();
+  }
+}
+
 void BackendConnectionPool::CloseIdle() {
   std::vector<BackendConnection*> expired;
   for (const auto& [address, idle] : idle_) {
--- a/camphorsail/gateway/backend_connection_pool.h
+++ b/camphorsail/gateway/backend_connection_pool.h
@@ -42,6 +42,8 @@
   /// last, or a new one. The pointer is valid until the connection is closed.
   BackendConnection* Take(const NetworkAddress& address);
 
+  /// Closes the idle connections to a server that is leaving.
+  void CloseIdleTo(const NetworkAddress& address);
   /// Closes the connections that have been idle for too long. To be called
   /// every second.
   void CloseIdle();
--- a/camphorsail/gateway/backend_fleet.cc
+++ b/camphorsail/gateway/backend_fleet.cc
@@ -7,15 +7,26 @@
 #include "camphorsail/process/log_event.h"
 
 namespace camphorsail {
+namespace {
+
+/// Time for which a server that has left is remembered. Announcements are not
+/// delayed for longer.
+constexpr absl::Duration kLeavingMemory = absl::Minutes(10);
+
+}  // namespace
 
 void BackendFleet::Apply(const ServerRegistry::Changes& changes,
-                         const ServerRegistry& registry) {
+                         const ServerRegistry& registry,
+                         MonoTime now) {
+  std::erase_if(leaving_, [&](const auto& item) {
+    return now - item.second.removed_at > kLeavingMemory;
+  });
   for (const BackendServerId& id : changes.removed) {
-    Remove(id);
+    Remove(id, now);
   }
   for (const ServerView& view : changes.views) {
     if (const ServerEntry* entry = registry.Find(view.server)) {
-      Add(view, entry->announcement);
+      Add(view, entry->announcement, now);
     }
   }
 }
@@ -53,7 +64,8 @@
 }
 
 void BackendFleet::Add(const ServerView& view,
-                       const ServerAnnouncement& announcement) {
+                       const ServerAnnouncement& announcement,
+                       MonoTime now) {
   const Expected<NetworkAddress> address =
       ParseNetworkAddress(announcement.description.address);
   if (!address || view.targets.empty()) {
@@ -70,7 +82,7 @@
       server.slots = std::max(1, view.capacity);
       return;
     }
-    Remove(view.server);
+    Remove(view.server, now);
   }
   Ref<BackendServer>& holder = by_address_[announcement.description.address];
   if (holder) {
@@ -82,7 +94,7 @@
           .Add("by", holder->id);
       return;
     }
-    Remove(BackendServerId(holder->id));
+    Remove(BackendServerId(holder->id), now);
   }
   auto server = MakeRef<BackendServer>();
   server->id = view.server;
@@ -92,6 +104,10 @@
   server->failure_domain = view.failure_domain;
   server->service = view.targets.front();
   server->slots = std::max(1, view.capacity);
+  const auto left = leaving_.find(view.server);
+  if (left != leaving_.end() && left->second.incarnation >= view.incarnation) {
+    server->wishes.OnLeaving();
+  }
   servers_[view.server] = server;
   by_address_[announcement.description.address] = server;
   Servers& servers = by_service_[server->service];
@@ -108,7 +124,7 @@
       .Add("failure_domain", server->failure_domain);
 }
 
-void BackendFleet::Remove(const BackendServerId& id) {
+void BackendFleet::Remove(const BackendServerId& id, MonoTime now) {
   const auto found = servers_.find(id);
   if (found == servers_.end()) {
     return;
@@ -116,6 +132,9 @@
   const Ref<BackendServer> server = std::move(found->second);
   servers_.erase(found);
   server->available = false;
+  if (server->wishes.is_leaving()) {
+    leaving_[id] = {server->incarnation, now};
+  }
   std::erase(by_service_[server->service], server);
   const auto holder = by_address_.find(ToString(server->address));
   if (holder != by_address_.end() && holder->second == server) {
--- a/camphorsail/gateway/backend_fleet.h
+++ b/camphorsail/gateway/backend_fleet.h
@@ -24,7 +24,8 @@
   /// Adds and removes servers as the registry has changed.
   /// @param changes The changes that were taken from `registry`.
   void Apply(const ServerRegistry::Changes& changes,
-             const ServerRegistry& registry);
+             const ServerRegistry& registry,
+             MonoTime now);
 
   /// @return The servers of a service that may get new requests, ordered by
   /// hash; empty when there are none.
@@ -39,13 +40,24 @@
                             MonoTime now);
 
  private:
-  void Add(const ServerView& view, const ServerAnnouncement& announcement);
-  void Remove(const BackendServerId& id);
+  /// A server that has said that it is leaving.
+  struct Leaving {
+    Incarnation incarnation;
+    MonoTime removed_at;
+  };
+
+  void Add(const ServerView& view,
+           const ServerAnnouncement& announcement,
+           MonoTime now);
+  void Remove(const BackendServerId& id, MonoTime now);
 
   std::map<BackendServerId, Ref<BackendServer>> servers_;
   absl::flat_hash_map<ModelId, Servers> by_service_;
   /// The server with the highest incarnation at each address.
   absl::flat_hash_map<std::string, Ref<BackendServer>> by_address_;
+  /// Servers that were removed after they had said that they are leaving. A
+  /// late announcement must not bring them back.
+  std::map<BackendServerId, Leaving> leaving_;
 };
 
 }  // namespace camphorsail
--- a/camphorsail/gateway/exchange.h
+++ b/camphorsail/gateway/exchange.h
@@ -80,6 +80,9 @@
   /// What the refusal was decided on, if the request was refused because of
   /// overload.
   std::optional<AdmissionCheck> refused_by;
+  /// Time until one of the service's servers takes requests again, if none did
+  /// when the request was refused.
+  absl::Duration servers_rest_for;
   MonoTime arrived_at;
   /// End of the time that the caller waits or that the route allows, whichever
   /// is earlier.
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -352,8 +352,7 @@
       placement_.Choose(fleet_.ServersOf(exchange->service->name),
                         exchange->placement, model, now);
   if (!choice.server) {
-    Refuse(exchange, ErrorKind::kNoBackendServer,
-           "no backend server of the service is available");
+    RefuseWithoutServer(exchange);
     return;
   }
   BackendServer& server = *choice.server;
@@ -391,6 +390,23 @@
                             MakeHandlers(exchange));
 }
 
+void Gateway::RefuseWithoutServer(Exchange* exchange) {
+  const MonoTime now = loop_->now();
+  MonoTime accepts_from = MonoTime::Infinite();
+  for (const Ref<BackendServer>& server :
+       fleet_.ServersOf(exchange->service->name)) {
+    accepts_from = std::min(accepts_from, server->wishes.AcceptsFrom(now));
+  }
+  if (accepts_from > now && accepts_from != MonoTime::Infinite()) {
+    exchange->servers_rest_for = accepts_from - now;
+    Refuse(exchange, ErrorKind::kNoBackendServer,
+           "the servers of the service have asked for a pause");
+    return;
+  }
+  Refuse(exchange, ErrorKind::kNoBackendServer,
+         "no backend server of the service is available");
+}
+
 absl::Duration Gateway::AdmissionLimit(const Exchange& exchange,
                                        const BackendServer& server) const {
   const Route& route = *exchange.route;
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -138,6 +138,8 @@
   /// Handles the status line and headers of an answer.
   /// @return False when the answer must not be used for this request.
   bool OnHead(Exchange* exchange, HttpResponseHead head);
+  /// Obeys what the server says about further requests.
+  void ObserveWishes(const Exchange& exchange);
   /// Handles a part of an answer's body.
   void OnData(Exchange* exchange, std::string_view data);
   /// Gives up the attempt when it holds too much of an incomplete answer.
@@ -198,6 +200,8 @@
   /// Ends the exchange and releases it.
   void Finish(Exchange* exchange);
 
+  /// Refuses a request that no server takes.
+  void RefuseWithoutServer(Exchange* exchange);
   /// @return Time after which the caller should retry a refused request.
   absl::Duration RetryAfter(const Exchange& exchange, ErrorKind kind);
   /// @return The retry budget of a service.
--- a/camphorsail/gateway/gateway_answer.cc
+++ b/camphorsail/gateway/gateway_answer.cc
@@ -37,6 +37,9 @@
 /// Upper bound of both times, as a fraction of the time until the caller's
 /// deadline. Callers ignore a longer `Retry-After`.
 constexpr double kRetryAfterFraction = 0.3;
+/// Largest fraction by which a gateway lengthens the time that a server asks it
+/// to stay away.
+constexpr double kRestSpread = 0.1;
 /// Bounds of the ratio of actual to expected response time.
 constexpr double kMinResponseTimeRatio = 0.2;
 constexpr double kMaxResponseTimeRatio = 20;
@@ -57,10 +60,32 @@
   if (reply.load.has_value()) {
     attempt.server->OnReport(*reply.load, loop_->now());
   }
+  ObserveWishes(*exchange);
   attempt.head = std::move(head);
   return true;
 }
 
+void Gateway::ObserveWishes(const Exchange& exchange) {
+  const ServerReply& reply = exchange.attempt->reply;
+  BackendServer& server = *exchange.attempt->server;
+  if (reply.is_leaving && !server.wishes.is_leaving()) {
+    server.wishes.OnLeaving();
+    LogEvent("server_says_leaving")
+        .Add("server", server.id)
+        .Add("request", exchange.request.request_id);
+  }
+  if (reply.rest.has_value()) {
+    // Spread over some time, so that the gateways do not come back together.
+    const absl::Duration rest =
+        *reply.rest * (1 + kRestSpread * random_.Uniform());
+    server.wishes.OnRest(rest, loop_->now());
+    LogEvent("server_resting")
+        .Add("server", server.id)
+        .Add("request", exchange.request.request_id)
+        .Add("rest_ms", absl::ToInt64Milliseconds(rest));
+  }
+}
+
 void Gateway::OnData(Exchange* exchange, std::string_view data) {
   ExchangeAttempt& attempt = *exchange->attempt;
   if (attempt.reply.not_run) {
@@ -101,6 +126,7 @@
                                now);
   attempt.server->OnFirstAnswer(attempt.number, now);
   attempt.server->health.OnSuccess(now);
+  attempt.server->wishes.OnAnswer(attempt.started_at);
   ServiceModel& model = ModelOf(*exchange);
   if (attempt.is_server_idle && exchange->service->is_engine) {
     model.engine().OnFirstEvent(attempt.uncached_tokens, attempt.first);
@@ -345,6 +371,10 @@
   if (cancel && connection != nullptr) {
     connection->Cancel();
   }
+  if (attempt.server->wishes.is_leaving()) {
+    // The connection of this attempt may be idle now.
+    pool_.CloseIdleTo(attempt.server->address);
+  }
   exchange->attempt.reset();
 }
 
@@ -376,7 +406,9 @@
 absl::Duration Gateway::RetryAfter(const Exchange& exchange, ErrorKind kind) {
   const bool not_ready =
       kind == ErrorKind::kNotReady || kind == ErrorKind::kLeaseExpired;
-  const absl::Duration base = not_ready ? kRetryAfterNotReady : kRetryAfter;
+  const absl::Duration base =
+      not_ready ? kRetryAfterNotReady
+                : std::max(kRetryAfter, exchange.servers_rest_for);
   if (exchange.deadline == MonoTime::Infinite()) {
     return base;
   }
--- a/camphorsail/gateway/gateway_gauges.cc
+++ b/camphorsail/gateway/gateway_gauges.cc
@@ -47,6 +47,14 @@
                        "Servers that temporarily get no requests because "
                        "attempts failed.",
                        {"service"});
+  leaving_ = declare("camphorsail_gateway_servers_leaving",
+                     "Servers that get no new requests because they said that "
+                     "they are leaving.",
+                     {"service"});
+  resting_ = declare("camphorsail_gateway_servers_resting",
+                     "Servers that get no requests for a time because they "
+                     "asked for it.",
+                     {"service"});
   own_requests_ =
       declare("camphorsail_gateway_server_requests",
               "Requests of this gateway on the servers.", {"service"});
@@ -79,11 +87,15 @@
                 static_cast<double>(state.dropped_refusals));
   for (const ServiceGauges& service : state.services) {
     int suspended = 0;
+    int leaving = 0;
+    int resting = 0;
     int own = 0;
     int slots = 0;
     double known = 0;
     for (const Ref<BackendServer>& server : *service.servers) {
       suspended += server->health.AcceptsRequests(now) ? 0 : 1;
+      leaving += server->wishes.is_leaving() ? 1 : 0;
+      resting += server->wishes.IsResting(now) ? 1 : 0;
       own += server->in_flight();
       slots += server->slots;
       known += server->Load(now);
@@ -92,6 +104,8 @@
     metrics_->Set(servers_, {name},
                   static_cast<double>(service.servers->size()));
     metrics_->Set(suspended_, {name}, suspended);
+    metrics_->Set(leaving_, {name}, leaving);
+    metrics_->Set(resting_, {name}, resting);
     metrics_->Set(own_requests_, {name}, own);
     metrics_->Set(known_requests_, {name}, known);
     metrics_->Set(slots_, {name}, slots);
--- a/camphorsail/gateway/gateway_gauges.h
+++ b/camphorsail/gateway/gateway_gauges.h
@@ -67,6 +67,8 @@
   MetricId dropped_refusals_;
   MetricId servers_;
   MetricId suspended_;
+  MetricId leaving_;
+  MetricId resting_;
   MetricId own_requests_;
   MetricId known_requests_;
   MetricId slots_;
--- a/camphorsail/gateway/server_reply.h
+++ b/camphorsail/gateway/server_reply.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "absl/time/time.h"
 #include "camphorsail/placement/reported_load.h"
 
 namespace camphorsail {
@@ -21,6 +22,10 @@
   bool is_signed = false;
   /// True when an intermediary has changed the encoding of the body.
   bool is_encoded = false;
+  /// True when the server is about to leave and wants no more requests.
+  bool is_leaving = false;
+  /// Time for which a server that is full wants no requests from this gateway.
+  std::optional<absl::Duration> rest;
   std::optional<ReportedLoad> load;
 };
 
--- a/camphorsail/placement/backend_server.cc
+++ b/camphorsail/placement/backend_server.cc
@@ -26,6 +26,7 @@
                                    Urgency urgency,
                                    MonoTime now) {
   ++in_flight_;
+  wishes.OnDispatch(now);
   own_requests_.Add(urgency, 1);
   const bool was_idle = std::all_of(
       unread_prefill_.begin(), unread_prefill_.end(),
--- a/camphorsail/placement/backend_server.h
+++ b/camphorsail/placement/backend_server.h
@@ -16,6 +16,7 @@
 #include "camphorsail/placement/gateway_server_load.h"
 #include "camphorsail/placement/recent_prefixes.h"
 #include "camphorsail/placement/reported_load.h"
+#include "camphorsail/placement/server_wishes.h"
 #include "camphorsail/placement/urgency_counts.h"
 
 namespace camphorsail {
@@ -42,6 +43,7 @@
   /// was replaced at its address.
   bool available = true;
   AttemptHealth health;
+  ServerWishes wishes;
   /// Prompt prefixes that the server has probably cached.
   RecentPrefixes prefixes;
 
--- a/camphorsail/placement/placement.cc
+++ b/camphorsail/placement/placement.cc
@@ -313,7 +313,8 @@
   const Lane lane =
       request.is_generation ? LaneOf(servers, request, model, now) : Lane();
   // The first pass skips servers that are suspended after failures. The second
-  // pass considers them too, in case there is no other server.
+  // pass considers them too, in case there is no other server. Servers that do
+  // not want a request get none.
   for (const bool accepting_only : {true, false}) {
     PlacementChoice best;
     double best_cost = std::numeric_limits<double>::infinity();
@@ -325,7 +326,7 @@
           std::find(request.failed_servers.begin(),
                     request.failed_servers.end(),
                     server->id) != request.failed_servers.end();
-      if (has_failed ||
+      if (has_failed || !server->wishes.AcceptsRequests(now) ||
           (accepting_only && !server->health.AcceptsRequests(now))) {
         continue;
       }
--- a/camphorsail/runtime/gateway_daemon.cc
+++ b/camphorsail/runtime/gateway_daemon.cc
@@ -245,7 +245,7 @@
 
 void GatewayDaemon::ApplyServerChanges() {
   const ServerRegistry::Changes changes = registry_.TakeChanges(loop_.now());
-  gateway_.fleet().Apply(changes, registry_);
+  gateway_.fleet().Apply(changes, registry_, loop_.now());
 }
 
 void GatewayDaemon::OnPeerMessage(const VmId& from,
--- a/tests/fakes/gateway/test_dialect.h
+++ b/tests/fakes/gateway/test_dialect.h
@@ -46,6 +46,10 @@
       reply.request_id = *id;
     }
     reply.not_run = head.headers.Find("X-Not-Run") != nullptr;
+    reply.is_leaving = head.headers.Find("X-Leaving") != nullptr;
+    if (const std::string* ms = head.headers.Find("X-Rest")) {
+      reply.rest = absl::Milliseconds(std::atoi(ms->c_str()));
+    }
     reply.is_signed = head.headers.Find("X-Signature") != nullptr;
     return reply;
   };
--- a/tests/unit/gateway/gateway_test.cc
+++ b/tests/unit/gateway/gateway_test.cc
@@ -24,18 +24,8 @@
   void SetUp() override {
     ASSERT_TRUE(gateway_.Start());
     for (size_t i = 0; i < servers_.size(); ++i) {
-      ServerAnnouncement announcement;
-      announcement.server = BackendServerId("s" + std::to_string(i));
-      announcement.version = {Incarnation(1), AnnouncementSequence(1)};
-      announcement.description.address =
-          "127.0.0.1:" + std::to_string(servers_[i].port());
-      announcement.description.kind = ServerKind::kService;
-      announcement.description.targets = {ModelId("svc")};
-      announcement.description.capacity = 4;
-      ASSERT_TRUE(registry_.OnAnnouncement(announcement, driver_.loop.now()));
+      Announce(i, Incarnation(1), AnnouncementSequence(1));
     }
-    gateway_.fleet().Apply(registry_.TakeChanges(driver_.loop.now()),
-                           registry_);
     RoutingTable table;
     table.version = 1;
     table.services = {{.name = ModelId("svc")}};
@@ -49,6 +39,24 @@
     gateway_.SetLease(MonoTime::Infinite());
   }
 
+  /// Tells the gateway of a start of a server.
+  /// @param i Index of the server.
+  void Announce(size_t i,
+                Incarnation incarnation,
+                AnnouncementSequence sequence) {
+    ServerAnnouncement announcement;
+    announcement.server = BackendServerId("s" + std::to_string(i));
+    announcement.version = {incarnation, sequence};
+    announcement.description.address =
+        "127.0.0.1:" + std::to_string(servers_[i].port());
+    announcement.description.kind = ServerKind::kService;
+    announcement.description.targets = {ModelId("svc")};
+    announcement.description.capacity = 4;
+    ASSERT_TRUE(registry_.OnAnnouncement(announcement, driver_.loop.now()));
+    ServerRegistry::Changes changes = registry_.TakeChanges(driver_.loop.now());
+    gateway_.fleet().Apply(changes, registry_, driver_.loop.now());
+  }
+
   static GatewaySettings Settings() {
     GatewaySettings settings;
     settings.listen = {"127.0.0.1", 0};
@@ -517,12 +525,49 @@
   }
 }
 
+// A server that is leaving says so before the control VMs can. A request that
+// it gets after that would be cut when it exits.
+TEST_F(GatewayTest, ServerThatSaysItLeavesGetsNoFurtherRequests) {
+  RawSocket caller = Call("/unsafe/x");
+  RawSocket* leaving = NextAttempt();
+  ASSERT_NE(leaving, nullptr);
+  leaving->Write(Answer("500 Error", "X-Signature: s\r\nX-Leaving: 1\r\n", ""));
+  ASSERT_TRUE(WaitFor(&caller, "HTTP/1.1 500"));
+  const size_t gone = servers_[0].connection_count() > 0 ? 0 : 1;
+  // Also when a late announcement of the same server arrives.
+  ServerRegistry::Changes changes;
+  changes.removed = {BackendServerId("s" + std::to_string(gone))};
+  gateway_.fleet().Apply(changes, registry_, driver_.loop.now());
+  Announce(gone, Incarnation(1), AnnouncementSequence(2));
+  constexpr int kCalls = 20;
+  for (int i = 0; i < kCalls; ++i) {
+    RawSocket next_caller = Call("/unsafe/x");
+    RawSocket* server = NextAttempt();
+    ASSERT_NE(server, nullptr);
+    EXPECT_EQ(servers_[gone].connection_count(), 1U);
+    server->Write(Answer("200 OK", kSigned, "served"));
+    ASSERT_TRUE(WaitFor(&next_caller, "served"));
+  }
+  // Another start of the server is another server.
+  Announce(gone, Incarnation(2), AnnouncementSequence(1));
+  bool is_used = false;
+  for (int i = 0; i < kCalls && !is_used; ++i) {
+    RawSocket next_caller = Call("/unsafe/x");
+    RawSocket* server = NextAttempt();
+    ASSERT_NE(server, nullptr);
+    server->Write(Answer("200 OK", kSigned, "served"));
+    ASSERT_TRUE(WaitFor(&next_caller, "served"));
+    is_used = servers_[gone].connection_count() > 1;
+  }
+  EXPECT_TRUE(is_used);
+}
+
 // A call that a server may have run finds no other server. The refusal must not
 // say that it has not run.
 TEST_F(GatewayTest, RefusalAfterAPossibleRunSaysSo) {
   ServerRegistry::Changes changes;
   changes.removed = {BackendServerId("s1")};
-  gateway_.fleet().Apply(changes, registry_);
+  gateway_.fleet().Apply(changes, registry_, driver_.loop.now());
   RawSocket caller = Call("/safe/x");
   RawSocket* server = NextAttempt();
   ASSERT_NE(server, nullptr);
@@ -531,5 +576,22 @@
   EXPECT_FALSE(caller.Has("\"request_was_run\":\"no\""));
 }
 
+// When every server wants a pause, the caller is told at once when to come
+// back, and no server gets a request before that.
+TEST_F(GatewayTest, RestingServersGetNoRequests) {
+  RawSocket caller = Call("/unsafe/x");
+  for (size_t i = 0; i < servers_.size(); ++i) {
+    RawSocket* server = NextAttempt();
+    ASSERT_NE(server, nullptr);
+    server->Write(Answer("503 Full", "X-Not-Run: 1\r\nX-Rest: 60000\r\n", ""));
+  }
+  ASSERT_TRUE(WaitFor(&caller, "HTTP/1.1 503"));
+  RawSocket next = Call("/unsafe/x");
+  ASSERT_TRUE(WaitFor(&next, "HTTP/1.1 503"));
+  EXPECT_TRUE(next.Has("have asked for a pause"));
+  EXPECT_TRUE(next.Has("\"request_was_run\":\"no\""));
+  EXPECT_TRUE(NoFurtherAttempt());
+}
+
 }  // namespace
 }  // namespace camphorsail
--- a/tests/unit/gateway_admission/gateway_admission_test.cc
+++ b/tests/unit/gateway_admission/gateway_admission_test.cc
@@ -43,7 +43,7 @@
       ASSERT_TRUE(registry_.OnAnnouncement(announcement, driver_.loop.now()));
     }
     gateway_.fleet().Apply(registry_.TakeChanges(driver_.loop.now()),
-                           registry_);
+                           registry_, driver_.loop.now());
     RoutingTable table;
     table.version = 1;
     table.services = {
--- a/tests/unit/platform/platform_test.cc
+++ b/tests/unit/platform/platform_test.cc
@@ -173,5 +173,34 @@
   EXPECT_EQ(answer.headers.Find("Server-Load"), nullptr);
 }
 
+// What a server wants is read from well-formed headers of the answers that may
+// have them; anything else must not take the server out of use.
+TEST(WireDialectTest, ReadsWhatServersWant) {
+  const WireDialect dialect = MakeWireDialect();
+  const auto read = [&](int status, const std::string& name,
+                        const std::vector<std::string>& values) {
+    HttpResponseHead head;
+    head.status = status;
+    for (const std::string& value : values) {
+      head.headers.Add(name, value);
+    }
+    return dialect.read_reply(head);
+  };
+  for (const int status : {200, 421, 500, 503}) {
+    EXPECT_TRUE(read(status, "server-leaving", {"1"}).is_leaving);
+  }
+  EXPECT_FALSE(read(200, "Server-Leaving", {"0"}).is_leaving);
+  EXPECT_FALSE(read(200, "Server-Leaving", {""}).is_leaving);
+  EXPECT_EQ(read(503, "Retry-After", {"2"}).rest, absl::Seconds(2));
+  EXPECT_EQ(read(503, "Retry-After", {"0.25"}).rest, absl::Milliseconds(250));
+  EXPECT_EQ(read(503, "Retry-After", {"1e300"}).rest, absl::Seconds(60));
+  EXPECT_FALSE(read(200, "Retry-After", {"2"}).rest);
+  EXPECT_FALSE(read(503, "Retry-After", {"2", "3"}).rest);
+  for (const char* value :
+       {"", "0", "-1", "nan", "soon", "Sat, 05 Dec 2026 08:00:00 GMT"}) {
+    EXPECT_FALSE(read(503, "Retry-After", {value}).rest) << value;
+  }
+}
+
 }  // namespace
 }  // namespace camphorsail::platform
