Replicas: the load of the others is the sum without what is in it

A gateway that polled again while the replica confirmed its state could be told that servers have four billion requests, and then took all of them for full: the load of its older poll was subtracted from a sum that had its newer one. What is subtracted now is what the sum has.

PollsThatCrossAReadDoNotDistortTheLoad failed before (in_flight).

--- a/camphorsail/runtime/gateway_sessions.cc
+++ b/camphorsail/runtime/gateway_sessions.cc
@@ -65,10 +65,19 @@
     update.replicas.push_back(member.vm);
   }
   GatewayServerLoadSum all;
+  // What each gateway has in the sum. Its poll may be older, when it has polled
+  // again since the read began.
+  std::map<VmId, std::vector<GatewayServerLoad>> own_loads;
   {
     absl::MutexLock lock(&mutex_);
     history_.OnTable(table);
     const GatewayGroupLoad own = OwnLoad();
+    for (const auto& [gateway, poll] : polls) {
+      const auto session = sessions_.find(gateway);
+      if (session != sessions_.end()) {
+        own_loads[gateway] = session->second.loads;
+      }
+    }
     update.gateways = own.gateways;
     all.Add(own.loads);
     update.demand = own.demand;
@@ -89,7 +98,9 @@
     GatewayUpdate answer = update;
     answer.token = poll.token;
     GatewayServerLoadSum others = all;
-    others.Subtract(poll.loads);
+    if (const auto own = own_loads.find(gateway); own != own_loads.end()) {
+      others.Subtract(own->second);
+    }
     answer.loads = others.Loads();
     {
       absl::MutexLock lock(&mutex_);
--- a/tests/unit/gateway_admission/gateway_admission_test.cc
+++ b/tests/unit/gateway_admission/gateway_admission_test.cc
@@ -42,8 +42,8 @@
       announcement.description.capacity = slots_;
       ASSERT_TRUE(registry_.OnAnnouncement(announcement, driver_.loop.now()));
     }
-    gateway_.fleet().Apply(registry_.TakeChanges(driver_.loop.now()),
-                           registry_, driver_.loop.now());
+    gateway_.fleet().Apply(registry_.TakeChanges(driver_.loop.now()), registry_,
+                           driver_.loop.now());
     RoutingTable table;
     table.version = 1;
     table.services = {
--- a/tests/unit/runtime/gateway_sessions_test.cc
+++ b/tests/unit/runtime/gateway_sessions_test.cc
@@ -1,5 +1,10 @@
 #include "camphorsail/runtime/gateway_sessions.h"
 
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "camphorsail/control/control_node.h"
 #include "gtest/gtest.h"
 
 namespace camphorsail {
@@ -87,5 +92,64 @@
   EXPECT_EQ(sent_[1].table.size(), 1U);
 }
 
+/// Sessions of a replica whose reads complete when the test says so.
+class GatewayLoadsTest : public testing::Test {
+ protected:
+  GatewayLoadsTest()
+      : sessions_({.when_current =
+                       [this](ControlRuntime::CurrentCallback callback) {
+                         reads_.push_back(std::move(callback));
+                       },
+                   .send =
+                       [this](const VmId&, const GatewayUpdate& update) {
+                         sent_.push_back(update);
+                       },
+                   .now = [this] { return now_; }}) {
+    ControlNodeSettings settings;
+    settings.replica.vm = VmId("r");
+    settings.replica.voter_vms = {VmId("r")};
+    settings.registration.vm = VmId("r");
+    settings.registration.incarnation = Incarnation(1);
+    DurableState state;
+    state.replica = ReplicaId(1);
+    state.is_new = true;
+    node_ = *ControlNode::Create(settings, state, /*seed=*/1, now_,
+                                 absl::UnixEpoch());
+  }
+
+  void Poll(const std::string& gateway, uint32_t in_flight) {
+    GatewayPoll poll;
+    poll.token = kProcess + ++token_;
+    poll.loads = {{.server = 7, .in_flight = in_flight}};
+    sessions_.OnPoll(VmId(gateway), poll);
+  }
+  void CompleteRead() {
+    ASSERT_FALSE(reads_.empty());
+    const ControlRuntime::CurrentCallback read = reads_.front();
+    reads_.erase(reads_.begin());
+    read({}, *node_);
+  }
+
+  MonoTime now_ = MonoTime::FromNanos(1'000'000'000'000);
+  uint64_t token_ = 0;
+  std::unique_ptr<ControlNode> node_;
+  std::vector<ControlRuntime::CurrentCallback> reads_;
+  std::vector<GatewayUpdate> sent_;
+  GatewaySessions sessions_;
+};
+
+// Guards against a server that looks as if it had four billion requests: the
+// load of a gateway's older poll was subtracted from a sum that had its newer
+// one, which was smaller.
+TEST_F(GatewayLoadsTest, PollsThatCrossAReadDoNotDistortTheLoad) {
+  Poll("a", 5);
+  Poll("b", 2);
+  Poll("a", 1);
+  CompleteRead();
+  ASSERT_EQ(sent_.size(), 1U);
+  ASSERT_EQ(sent_[0].loads.size(), 1U);
+  EXPECT_EQ(sent_[0].loads[0].in_flight, 2U);
+}
+
 }  // namespace
 }  // namespace camphorsail
