An engine with too many prompts to read is full

With long prompts it is the reading that is short, not the slots: the less urgent long prompts went on to such engines (48 to 88 a second, while their share was refused elsewhere), and the urgent streams behind the more urgent ones of them waited there until their callers left after 2 s. An engine has room now only when it would begin with the prompt within the objective.

EngineWithTooManyPromptsIsFull failed before (32 admitted, 16 allowed).

--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -408,19 +408,24 @@
 }
 
 absl::Duration Gateway::AdmissionLimit(const Exchange& exchange,
-                                       const BackendServer& server) const {
+                                       const PlacementChoice& choice) const {
   const Route& route = *exchange.route;
-  if (!exchange.service->is_engine || route.objective_ms == 0 ||
-      server.Load(loop_->now()) < server.slots) {
+  if (!exchange.service->is_engine || route.objective_ms == 0) {
     return absl::InfiniteDuration();
   }
   // The time that the caller still waits does not tell how long it has waited:
   // some callers wait for less than the route allows from the start.
-  return absl::Milliseconds(route.objective_ms) * kAdmissionObjectiveFraction;
+  const absl::Duration limit =
+      absl::Milliseconds(route.objective_ms) * kAdmissionObjectiveFraction;
+  // An engine with free slots is full too when it has too many prompts to read.
+  const bool has_room =
+      choice.server->Load(loop_->now()) < choice.server->slots &&
+      choice.queue <= limit;
+  return has_room ? absl::InfiniteDuration() : limit;
 }
 
 bool Gateway::AdmitOrRefuse(Exchange* exchange, const PlacementChoice& choice) {
-  const absl::Duration limit = AdmissionLimit(*exchange, *choice.server);
+  const absl::Duration limit = AdmissionLimit(*exchange, choice);
   AdmissionGate& gate = ModelOf(*exchange).admission();
   const Urgency urgency = exchange->placement.urgency;
   const double old_share = gate.RefusedShare(urgency);
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -121,7 +121,7 @@
   /// @return Longest expected time to the start of the answer with which the
   /// request is admitted on the server; infinite while the server has room.
   absl::Duration AdmissionLimit(const Exchange& exchange,
-                                const BackendServer& server) const;
+                                const PlacementChoice& choice) const;
   /// Decides whether a new request is sent to the server that was chosen.
   /// @return False when the request was refused because of overload.
   bool AdmitOrRefuse(Exchange* exchange, const PlacementChoice& choice);
--- a/camphorsail/placement/placement.cc
+++ b/camphorsail/placement/placement.cc
@@ -254,9 +254,11 @@
   const double load = server.Load(now);
   const double backlog_ms =
       absl::ToDoubleMilliseconds(server.PromptBacklog(now));
-  estimate.expected_ms = (QueueMs(server, request, now) + estimate.prefill_ms +
-                          engine.FirstEventMs()) *
-                         server.health.Slowdown(now);
+  const double slowdown = server.health.Slowdown(now);
+  estimate.queue_ms = QueueMs(server, request, now) * slowdown;
+  estimate.expected_ms =
+      estimate.queue_ms +
+      (estimate.prefill_ms + engine.FirstEventMs()) * slowdown;
   estimate.cost = WaitCost(estimate.expected_ms / ObjectiveMs(request)) +
                   settings_.load_cost * load / server.slots;
   if (prompt_tokens > 0) {
@@ -350,6 +352,7 @@
       best.server = server;
       best.uncached_tokens = estimate.uncached_tokens;
       best.prefill = absl::Milliseconds(estimate.prefill_ms);
+      best.queue = absl::Milliseconds(estimate.queue_ms);
       best.expected = absl::Milliseconds(estimate.expected_ms);
       best.prefix_rank =
           request.is_generation ? PrefixRank(*server, i, lane) : -1;
--- a/camphorsail/placement/placement.h
+++ b/camphorsail/placement/placement.h
@@ -60,6 +60,9 @@
   absl::Duration prefill;
   /// Estimate of the prompt tokens that the server does not have cached.
   double uncached_tokens = 0;
+  /// Part of `expected` in which the server works on other requests; zero for
+  /// calls to plain services.
+  absl::Duration queue;
   /// Estimated time to the first token of a stream, or to the answer of a
   /// call.
   absl::Duration expected;
@@ -126,6 +129,7 @@
     double cost = 0;
     double uncached_tokens = 0;
     double prefill_ms = 0;
+    double queue_ms = 0;
     double expected_ms = 0;
   };
 
--- a/tests/unit/gateway_admission/gateway_admission_test.cc
+++ b/tests/unit/gateway_admission/gateway_admission_test.cc
@@ -136,6 +136,18 @@
   EXPECT_FALSE(IsAdmitted("/bulk/", kLongPrompt));
 }
 
+// Incident TIER: long prompts went on to engines with free slots that would not
+// read them in time, while urgent streams waited there until their callers
+// left.
+TEST_F(LargeEngineAdmissionTest, EngineWithTooManyPromptsIsFull) {
+  size_t admitted = 0;
+  while (admitted < 2 * static_cast<size_t>(slots_) &&
+         IsAdmitted("/bulk/", kLongPrompt)) {
+    ++admitted;
+  }
+  EXPECT_LT(admitted, static_cast<size_t>(slots_));
+}
+
 // Incident TIER: a caller that waits for less than the route allows was taken
 // for one that tries again, and refused although its answer would have begun
 // within the latency objective.
