Process tests and the soak: servers that leave or want a pause say so

The stand-in server says both in its answers, each on its own, also while it goes on announcing itself as ready. Three process tests (two gateways, four seconds of calls beside a full server: one answer at most says so to each gateway), and in the soak two more faults and a check of what reaches such servers, with restarts and pauses of the gateway excused.

--- a/tests/process/gateway_fleet.py
+++ b/tests/process/gateway_fleet.py
@@ -27,7 +27,11 @@
 
 
 class FakeServer:
-    """A backend server that keeps the ids of the requests that it has run. Streams have `EVENTS` events."""
+    """A backend server that keeps the ids of the requests that it has run. Streams have `EVENTS` events.
+
+    `says_leaving` adds to each answer that the server leaves. Until `full_until` each request is turned away, with the
+    time that is left as the pause that the server asks for.
+    """
 
     EVENTS = 12
 
@@ -36,6 +40,10 @@
         self.service = service
         self.fleet = fleet
         self.runs = []
+        # Request id, time, and what the answer says: "leaving", the length of a pause in seconds, or None.
+        self.arrivals = []
+        self.says_leaving = False
+        self.full_until = 0.0
         self.lock = threading.Lock()
         self.sequence = 0
         self.born = int(time.time() * 1000)
@@ -77,11 +85,25 @@
             request.end_headers()
             return
         first = int(request.headers.get("Last-Event-Id") or -1) + 1
+        now = time.monotonic()
+        pause = max(0.0, self.full_until - now)
+        with self.lock:
+            self.arrivals.append((request_id, now, pause or ("leaving" if self.says_leaving else None)))
+        if pause:
+            request.send_response(503)
+            request.send_header("Request-Id", request_id)
+            request.send_header("Not-Executed", "1")
+            request.send_header("Retry-After", f"{pause:.3f}")
+            request.send_header("Content-Length", "0")
+            request.end_headers()
+            return
         with self.lock:
             self.runs.append((request_id, request.path, request.headers.get("Tenant-Id"), first, time.monotonic()))
         request.send_response(200)
         request.send_header("Request-Id", request_id)
         request.send_header("Response-Signature", f"{self.name}.{request_id}")
+        if self.says_leaving:
+            request.send_header("Server-Leaving", "1")
         if not request.path.startswith("/stream/"):
             text = f"{request_id}:{body.decode()}".encode()
             request.send_header("Content-Length", str(len(text)))
@@ -108,6 +130,13 @@
         while not self.stopped.wait(0.5):
             self.heartbeat()
 
+    def start_again(self):
+        """Another start of the server under its id."""
+        self.says_leaving = False
+        self.sequence = 0
+        self.born = int(time.time() * 1000)
+        self.heartbeat()
+
     def stop(self):
         self.stopped.set()
         self.http.shutdown()
--- a/tests/process/gateway_path_test.py
+++ b/tests/process/gateway_path_test.py
@@ -97,6 +97,50 @@
             self.assertEqual(self.fleet.request(1 + n % 2, "/safe/x", f"d{n}")[0], 200)
         self.assertEqual(len(self.first.runs), before)
 
+    def arrivals_after(self, server, began, gateway):
+        with server.lock:
+            return [said for request_id, at, said in server.arrivals
+                    if at >= began and request_id.endswith(f"-g{gateway}")]
+
+    def test_server_that_says_it_leaves_gets_no_new_work(self):
+        # The control VMs do not know: the server goes on announcing itself as ready.
+        self.first.says_leaving = True
+        for gateway in (1, 2):
+            began = time.monotonic()
+            for n in range(60):
+                self.assertEqual(self.fleet.request(gateway, "/safe/x", f"l{n}-g{gateway}")[0], 200)
+            self.assertLessEqual(len(self.arrivals_after(self.first, began, gateway)), 1)
+        self.first.start_again()
+        wait_until("the next start is used", lambda: any(
+            self.fleet.request(1, "/safe/x", f"n{n}-g1")[0] == 200 and self.first.arrivals[-1][2] is None and
+            self.first.arrivals[-1][0].startswith("n") for n in range(20)))
+
+    def test_full_server_is_left_alone_for_the_time_that_it_asks_for(self):
+        self.first.full_until = began = time.monotonic()
+        self.first.full_until += 3
+        n = 0
+        while time.monotonic() < began + 4:
+            n += 1
+            gateway = 1 + n % 2
+            self.assertEqual(self.fleet.request(gateway, "/unsafe/x", f"p{n}-g{gateway}")[0], 200)
+            time.sleep(0.01)
+        for gateway in (1, 2):
+            pauses = [said for said in self.arrivals_after(self.first, began, gateway) if said]
+            self.assertLessEqual(len(pauses), 1)
+        wait_until("the server is used again", lambda: any(
+            self.fleet.request(1, "/safe/x", f"a{n}-g1")[0] == 200 and self.first.arrivals[-1][0].startswith("a")
+            for n in range(20)))
+
+    def test_callers_are_told_when_all_servers_want_a_pause(self):
+        for server in (self.first, self.second):
+            server.full_until = time.monotonic() + 5
+        wait_until("both have said so", lambda: "have asked for a pause" in
+                   self.fleet.request(1, "/unsafe/x", "full")[1])
+        began = time.monotonic()
+        self.assertEqual(self.fleet.request(1, "/unsafe/x", "again-g1")[0], 503)
+        self.assertLess(time.monotonic() - began, 1)
+        self.assertEqual(self.arrivals_after(self.first, began, 1) + self.arrivals_after(self.second, began, 1), [])
+
     def test_gateway_stops_gracefully(self):
         self.fleet.kill("gateway1", signal.SIGTERM)
         self.assertEqual(self.fleet.request(1, "/stream/x", "late")[0], 200)
--- a/tests/soak/gateway_soak.py
+++ b/tests/soak/gateway_soak.py
@@ -3,7 +3,8 @@
 Usage: gateway_soak.py BINARIES [--seed N] [--seconds S] [--keep]
 
 Processes are killed, paused, stopped and restarted, control VMs lose their disks one at a time, connections to servers
-are delayed, reset and silenced, tables change and keys are revoked meanwhile. Exit code 1 when a promise was broken.
+are delayed, reset and silenced, servers leave and ask for pauses in their answers, tables change and keys are revoked
+meanwhile. Exit code 1 when a promise was broken.
 """
 
 import argparse
@@ -26,6 +27,11 @@
 CALLERS = 6
 # A key that was taken away must be dead this long after the change was acknowledged.
 REVOKE_S = 5.0
+# A request that is sent this long after a gateway heard that a server leaves must not reach the server.
+DRAIN_S = 2.0
+# A server that asked a gateway for a pause gets at most so many requests from it, from this time on until its end.
+PAUSE_SETTLES_S = 0.5
+MOST_IN_A_PAUSE = 2
 # A VM with an empty disk votes again after at most this time.
 CATCH_UP_S = 6.0
 
@@ -46,6 +52,8 @@
         self.acknowledged = 0
         self.disk_lost_at = 0.0
         self.counts = collections.Counter()
+        # When each gateway was last restarted or paused.
+        self.disturbed = collections.defaultdict(list)
 
     def start(self):
         self.fleet.start()
@@ -84,10 +92,11 @@
             kind = rng.choice(["safe", "unsafe", "unsafe", "stream"])
             key = self.live_key
             sent = time.monotonic()
+            gateway = rng.randrange(1, GATEWAYS + 1)
             with self.lock:
-                self.sent_at[request_id] = (sent, key)
-            status, text, whole = self.fleet.request(rng.randrange(1, GATEWAYS + 1), f"/{kind}/x", request_id, key=key,
-                                                     body=request_id, timeout=6)
+                self.sent_at[request_id] = (sent, key, f"gateway{gateway}")
+            status, text, whole = self.fleet.request(gateway, f"/{kind}/x", request_id, key=key, body=request_id,
+                                                     timeout=6)
             with self.lock:
                 self.results[request_id] = (kind, status)
                 self.counts[kind, status if whole else "cut"] += 1
@@ -114,7 +123,7 @@
             if request_id.startswith("warm"):
                 continue
             kind, status = self.results.get(request_id, ("?", -1))
-            sent, key = self.sent_at.get(request_id, (0, None))
+            sent, key, _ = self.sent_at.get(request_id, (0, None, None))
             if key is None:
                 self.fail(f"{request_id}: ran and was never sent")
                 continue
@@ -128,14 +137,45 @@
             if dead_at is not None and sent > dead_at + REVOKE_S:
                 self.fail(f"{request_id}: ran {sent - dead_at:.1f} s after its key was revoked")
 
+    def check_wishes(self):
+        """No gateway sends what a server said that it does not want, unless it was disturbed since."""
+        for server in self.fleet.servers:
+            told = {}
+            pauses = []
+            for request_id, at, said in sorted(server.arrivals, key=lambda arrival: arrival[1]):
+                sent, _, gateway = self.sent_at.get(request_id, (0, None, None))
+                if gateway is None:
+                    continue
+                if said != "leaving":
+                    told.pop(gateway, None)
+                elif gateway not in told:
+                    told[gateway] = at
+                elif sent > told[gateway] + DRAIN_S and not self.was_disturbed(gateway, told[gateway], at):
+                    self.fail(f"{request_id}: reached {server.name} {sent - told[gateway]:.1f} s after {gateway} heard "
+                              "that it leaves")
+                for pause in pauses:
+                    if pause[0] == gateway and pause[1] + PAUSE_SETTLES_S < at < pause[2]:
+                        pause[3].append(request_id)
+                if isinstance(said, float):
+                    pauses.append((gateway, at, at + said, []))
+            for gateway, begin, end, arrivals in pauses:
+                if len(arrivals) > MOST_IN_A_PAUSE and not self.was_disturbed(gateway, begin, end):
+                    self.fail(f"{arrivals[-1]}: request {len(arrivals)} of {gateway} in a pause of {server.name}")
+
+    def was_disturbed(self, gateway, begin, end):
+        return any(begin <= until and since <= end for since, until in self.disturbed[gateway])
+
     # Faults.
 
     def paused(self, name, seconds):
+        began = time.monotonic()
         self.fleet.kill(name, signal.SIGSTOP)
         time.sleep(seconds)
         self.fleet.kill(name, signal.SIGCONT)
+        self.disturbed[name].append((began, time.monotonic()))
 
     def restart(self, name, number):
+        began = time.monotonic()
         self.fleet.kill(name, number)
         code = self.fleet.wait(name)
         if number == signal.SIGTERM and code != 0:
@@ -146,15 +186,17 @@
             self.fleet.start_control(index, found_group=False)
         else:
             self.fleet.start_gateway(index)
+        self.disturbed[name].append((began, time.monotonic()))
 
     def one_fault(self):
         rng = self.random
         control = f"control{rng.randrange(1, CONTROL_VMS + 1)}"
         gateway = f"gateway{rng.randrange(1, GATEWAYS + 1)}"
         proxy = rng.choice(self.proxies)
+        server = rng.choice(self.fleet.servers)
         fault = rng.choice(["kill_control", "kill_gateway", "term_gateway", "term_control", "pause_control",
                             "pause_gateway", "wipe", "reset", "silence", "delay", "refuse", "table", "table", "revoke",
-                            "hup"])
+                            "hup", "says_leaving", "start_again", "full"])
         print(f"{time.monotonic() - self.began:7.2f} {fault} {control} {gateway}", flush=True)
         if fault == "kill_control":
             self.restart(control, signal.SIGKILL)
@@ -194,6 +236,13 @@
                 self.live_key = new
                 if self.put(keys=(new,)):
                     self.revoked[old] = time.monotonic()
+        elif fault == "says_leaving" and sum(not other.says_leaving for other in self.fleet.servers) > 2:
+            server.says_leaving = True
+        elif fault == "start_again":
+            for leaving in [other for other in self.fleet.servers if other.says_leaving]:
+                leaving.start_again()
+        elif fault == "full":
+            server.full_until = time.monotonic() + rng.uniform(0.5, 4)
         elif fault == "hup":
             self.fleet.kill(rng.choice([control, gateway]), signal.SIGHUP)
 
@@ -210,6 +259,10 @@
             caller.join()
 
     def check_end(self):
+        for server in self.fleet.servers:
+            server.full_until = 0.0
+            if server.says_leaving:
+                server.start_again()
         for i in range(1, GATEWAYS + 1):
             wait_until("the gateways serve after the faults",
                        lambda i=i: self.fleet.request(i, "/safe/x", f"warm-end{i}", key=self.live_key)[0] == 200, 20)
@@ -222,6 +275,7 @@
         elif json.loads(text)["version"] < self.acknowledged:
             self.fail(f"table {self.acknowledged} was acknowledged, and {json.loads(text)['version']} is read back")
         self.check_runs()
+        self.check_wishes()
 
 
 def main():
