Each change of a refused share is logged

admission_changed was written only when the request at hand was of the urgency whose share changed, so that the log showed jumps (a share of 0.2, then 0.8). The gate now tells which share has changed; SharesFollowTheLoadGradually asks for it.

--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -428,14 +428,13 @@
   const absl::Duration limit = AdmissionLimit(*exchange, choice);
   AdmissionGate& gate = ModelOf(*exchange).admission();
   const Urgency urgency = exchange->placement.urgency;
-  const double old_share = gate.RefusedShare(urgency);
   const AdmissionGate::Verdict verdict =
       gate.Judge(urgency, choice.expected, limit, loop_->now());
-  if (const double share = gate.RefusedShare(urgency); share != old_share) {
+  if (const std::optional<Urgency> changed = gate.TakeChange()) {
     LogEvent("admission_changed")
         .Add("service", exchange->service->name)
-        .Add("urgency", urgency.value())
-        .Add("refused_share", share);
+        .Add("urgency", changed->value())
+        .Add("refused_share", gate.RefusedShare(*changed));
   }
   if (verdict == AdmissionGate::Verdict::kAdmit) {
     return true;
--- a/camphorsail/placement/admission_gate.cc
+++ b/camphorsail/placement/admission_gate.cc
@@ -124,18 +124,22 @@
   // The least urgent requests are refused first and accepted last.
   for (int i = kUrgencyLevels - 1; i >= 0; --i) {
     if (in_the_way.Contains(Urgency(i)) && levels_[i].refused_share < 1) {
-      levels_[i].refused_share =
-          std::min(1.0, levels_[i].refused_share + kCloseStep);
+      ChangeShare(Urgency(i), kCloseStep);
       return;
     }
   }
-  for (Level& level : levels_) {
-    if (level.refused_share > 0 &&
-        !in_the_way.Contains(Urgency(static_cast<int>(&level - &levels_[0])))) {
-      level.refused_share = std::max(0.0, level.refused_share - kOpenStep);
+  for (int i = 0; i < kUrgencyLevels; ++i) {
+    if (!in_the_way.Contains(Urgency(i)) && levels_[i].refused_share > 0) {
+      ChangeShare(Urgency(i), -kOpenStep);
       return;
     }
   }
 }
 
+void AdmissionGate::ChangeShare(Urgency urgency, double change) {
+  double& share = levels_[urgency.value()].refused_share;
+  share = std::clamp(share + change, 0.0, 1.0);
+  changed_ = urgency;
+}
+
 }  // namespace camphorsail
--- a/camphorsail/placement/admission_gate.h
+++ b/camphorsail/placement/admission_gate.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <optional>
+#include <utility>
 
 #include "absl/time/time.h"
 #include "camphorsail/base/mono_time.h"
@@ -83,6 +84,11 @@
   ServiceAdmissionState OwnState(MonoTime now) const;
   /// @return Urgencies of requests that any gateway has started recently.
   UrgencySet Started(MonoTime now) const;
+  /// @return The urgency whose refused share has changed since the last call,
+  /// if any.
+  std::optional<Urgency> TakeChange() {
+    return std::exchange(changed_, std::nullopt);
+  }
   /// @return Share of the requests of an urgency that is refused because more
   /// urgent ones are late, from 0 to 1.
   double RefusedShare(Urgency urgency) const {
@@ -123,13 +129,15 @@
   /// @return The less urgent members of `set` whose requests take at least as
   /// much work, so that refusing one makes room for a request of `urgency`.
   UrgencySet LargerAndLessUrgent(const UrgencySet& set, Urgency urgency) const;
-  /// Changes the refused shares if it is time to.
+  /// Changes one of the refused shares if it is time to.
   void Update(MonoTime now);
+  void ChangeShare(Urgency urgency, double change);
 
   std::array<Level, kUrgencyLevels> levels_;
   ServiceAdmissionState fleet_;
   std::optional<MonoTime> fleet_at_;
   std::optional<MonoTime> updated_at_;
+  std::optional<Urgency> changed_;
 };
 
 }  // namespace camphorsail
--- a/tests/unit/placement/admission_gate_test.cc
+++ b/tests/unit/placement/admission_gate_test.cc
@@ -83,8 +83,10 @@
     return static_cast<double>(refused) / sent;
   };
   EXPECT_LT(refused_share(0, kTooLong), 0.05);
+  EXPECT_FALSE(gate.TakeChange());
   EXPECT_NEAR(refused_share(0.5, kTooLong), 0.2, 0.1);
   EXPECT_NEAR(refused_share(1, kTooLong), 0.4, 0.1);
+  EXPECT_EQ(gate.TakeChange(), kLow);
   // The late requests count for one more second.
   refused_share(1.5, kInTime);
   refused_share(2, kInTime);
