Callers refused for more urgent ones are told to come back later

Callers try once more. Told to come back after 300 ms, those that were refused for more urgent requests came back while these were still late, were refused again and got nothing. They are told 1.5 s to 3 s now, at random, and as before at most 0.3 of the time that they wait; the shares need about that long to follow the load. CallersRefusedForMoreUrgentOnesComeBackLater fails before (300 ms).

--- a/camphorsail/gateway/exchange.h
+++ b/camphorsail/gateway/exchange.h
@@ -80,6 +80,8 @@
   /// What the refusal was decided on, if the request was refused because of
   /// overload.
   std::optional<AdmissionCheck> refused_by;
+  /// True when the request was refused for more urgent ones that are late.
+  bool is_closed = false;
   /// Time until one of the service's servers takes requests again, if none did
   /// when the request was refused.
   absl::Duration servers_rest_for;
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -440,6 +440,7 @@
     return true;
   }
   exchange->refused_by = DescribeAdmission(*exchange, choice, limit);
+  exchange->is_closed = verdict == AdmissionGate::Verdict::kClosed;
   Refuse(exchange, ErrorKind::kOverloaded,
          verdict == AdmissionGate::Verdict::kClosed
              ? "more urgent requests are late"
--- a/camphorsail/gateway/gateway_answer.cc
+++ b/camphorsail/gateway/gateway_answer.cc
@@ -34,7 +34,11 @@
 constexpr absl::Duration kRetryAfter = absl::Milliseconds(300);
 /// Time after which a caller is asked to retry when the gateway is not ready.
 constexpr absl::Duration kRetryAfterNotReady = absl::Milliseconds(800);
-/// Upper bound of both times, as a fraction of the time until the caller's
+/// Shortest time after which a caller is asked to retry when its request was
+/// refused for more urgent ones; the longest is twice that. Longer than the
+/// shares of the requests that are refused need to follow the load.
+constexpr absl::Duration kRetryAfterClosed = absl::Milliseconds(1500);
+/// Upper bound of these times, as a fraction of the time until the caller's
 /// deadline. Callers ignore a longer `Retry-After`.
 constexpr double kRetryAfterFraction = 0.3;
 /// Largest fraction by which a gateway lengthens the time that a server asks it
@@ -406,9 +410,11 @@
 absl::Duration Gateway::RetryAfter(const Exchange& exchange, ErrorKind kind) {
   const bool not_ready =
       kind == ErrorKind::kNotReady || kind == ErrorKind::kLeaseExpired;
-  const absl::Duration base =
-      not_ready ? kRetryAfterNotReady
-                : std::max(kRetryAfter, exchange.servers_rest_for);
+  absl::Duration base = not_ready ? kRetryAfterNotReady : kRetryAfter;
+  if (exchange.is_closed) {
+    base = kRetryAfterClosed * (1 + random_.Uniform());
+  }
+  base = std::max(base, exchange.servers_rest_for);
   if (exchange.deadline == MonoTime::Infinite()) {
     return base;
   }
--- a/tests/unit/gateway_admission/gateway_admission_test.cc
+++ b/tests/unit/gateway_admission/gateway_admission_test.cc
@@ -169,5 +169,29 @@
   }
 }
 
+// Load pattern: callers that try once more. Those that were refused for more
+// urgent ones would come back while these are still late.
+TEST_F(GatewayAdmissionTest, CallersRefusedForMoreUrgentOnesComeBackLater) {
+  constexpr char kRetryAfter[] = "Retry-After: ";
+  constexpr double kShortestSeconds = 1.5;
+  constexpr int kMaxRounds = 20;
+  for (int round = 0; round < kMaxRounds; ++round) {
+    for (int i = 0; i < 2 * slots_; ++i) {
+      EXPECT_TRUE(IsAdmitted("/quick/", kShortPrompt));
+    }
+    if (!IsAdmitted("/bulk/", kShortPrompt) &&
+        callers_.back().Has("more urgent requests are late")) {
+      const std::string& answer = callers_.back().received();
+      const size_t at = answer.find(kRetryAfter);
+      ASSERT_NE(at, std::string::npos);
+      EXPECT_GE(std::stod(answer.substr(at + std::string(kRetryAfter).size())),
+                kShortestSeconds);
+      return;
+    }
+    driver_.RunFor(absl::Milliseconds(200));
+  }
+  FAIL() << "no request was refused for more urgent ones";
+}
+
 }  // namespace
 }  // namespace camphorsail
