All urgencies open together after a recovery

After a crash that had closed several urgencies, the least urgent stayed closed for 20 s after the engines were back: the shares fell one after the other, 5 s each, and rounding left shares of 1e-16 that took a step too. They fall together now; the least urgent never before a more urgent one.

--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -430,11 +430,14 @@
   const Urgency urgency = exchange->placement.urgency;
   const AdmissionGate::Verdict verdict =
       gate.Judge(urgency, choice.expected, limit, loop_->now());
-  if (const std::optional<Urgency> changed = gate.TakeChange()) {
-    LogEvent("admission_changed")
-        .Add("service", exchange->service->name)
-        .Add("urgency", changed->value())
-        .Add("refused_share", gate.RefusedShare(*changed));
+  const UrgencySet changed = gate.TakeChanges();
+  for (int level = 0; level < kUrgencyLevels; ++level) {
+    if (changed.Contains(Urgency(level))) {
+      LogEvent("admission_changed")
+          .Add("service", exchange->service->name)
+          .Add("urgency", level)
+          .Add("refused_share", gate.RefusedShare(Urgency(level)));
+    }
   }
   if (verdict == AdmissionGate::Verdict::kAdmit) {
     return true;
--- a/camphorsail/placement/admission_gate.cc
+++ b/camphorsail/placement/admission_gate.cc
@@ -121,7 +121,9 @@
       in_the_way |= LargerAndLessUrgent(arrived, Urgency(i));
     }
   }
-  // The least urgent requests are refused first and accepted last.
+  // The least urgent requests are refused first. What need not be refused any
+  // longer is accepted again at the same time, so that the least urgent do not
+  // wait for all others when servers come back.
   for (int i = kUrgencyLevels - 1; i >= 0; --i) {
     if (in_the_way.Contains(Urgency(i)) && levels_[i].refused_share < 1) {
       ChangeShare(Urgency(i), kCloseStep);
@@ -131,15 +133,17 @@
   for (int i = 0; i < kUrgencyLevels; ++i) {
     if (!in_the_way.Contains(Urgency(i)) && levels_[i].refused_share > 0) {
       ChangeShare(Urgency(i), -kOpenStep);
-      return;
     }
   }
 }
 
 void AdmissionGate::ChangeShare(Urgency urgency, double change) {
   double& share = levels_[urgency.value()].refused_share;
-  share = std::clamp(share + change, 0.0, 1.0);
-  changed_ = urgency;
+  // A share that is almost 0 or 1 is a rounding error.
+  share = share + change < kOpenStep / 2       ? 0
+          : share + change > 1 - kOpenStep / 2 ? 1
+                                               : share + change;
+  changed_.Add(urgency);
 }
 
 }  // namespace camphorsail
--- a/camphorsail/placement/admission_gate.h
+++ b/camphorsail/placement/admission_gate.h
@@ -47,8 +47,8 @@
   /// late. Refusing the whole takes about as long as the streams need to leave
   /// their slots, after which the effect shows.
   static constexpr double kCloseStep = 0.2;
-  /// Change of a refused share in one interval while none are late. Slower, so
-  /// that callers who come back do not make the urgent requests late again.
+  /// Change of the refused shares in one interval while none are late. Slower,
+  /// so that callers who come back do not make the urgent requests late again.
   static constexpr double kOpenStep = 0.1;
 
   /// Takes a new request into account.
@@ -84,11 +84,9 @@
   ServiceAdmissionState OwnState(MonoTime now) const;
   /// @return Urgencies of requests that any gateway has started recently.
   UrgencySet Started(MonoTime now) const;
-  /// @return The urgency whose refused share has changed since the last call,
-  /// if any.
-  std::optional<Urgency> TakeChange() {
-    return std::exchange(changed_, std::nullopt);
-  }
+  /// @return The urgencies whose refused shares have changed since the last
+  /// call.
+  UrgencySet TakeChanges() { return std::exchange(changed_, UrgencySet()); }
   /// @return Share of the requests of an urgency that is refused because more
   /// urgent ones are late, from 0 to 1.
   double RefusedShare(Urgency urgency) const {
@@ -129,7 +127,7 @@
   /// @return The less urgent members of `set` whose requests take at least as
   /// much work, so that refusing one makes room for a request of `urgency`.
   UrgencySet LargerAndLessUrgent(const UrgencySet& set, Urgency urgency) const;
-  /// Changes one of the refused shares if it is time to.
+  /// Changes the refused shares if it is time to.
   void Update(MonoTime now);
   void ChangeShare(Urgency urgency, double change);
 
@@ -137,7 +135,7 @@
   ServiceAdmissionState fleet_;
   std::optional<MonoTime> fleet_at_;
   std::optional<MonoTime> updated_at_;
-  std::optional<Urgency> changed_;
+  UrgencySet changed_;
 };
 
 }  // namespace camphorsail
