--- a/camphorsail/gateway/exchange.h
+++ b/camphorsail/gateway/exchange.h
@@ -20,6 +20,7 @@
 #include "camphorsail/placement/admission_check.h"
 #include "camphorsail/placement/backend_server.h"
 #include "camphorsail/placement/placement.h"
+#include "camphorsail/quarantine/prompt_part_hash.h"
 #include "camphorsail/routing/route_index.h"
 
 namespace camphorsail {
@@ -76,6 +77,8 @@
   const Route* route = nullptr;
   const ServiceProfile* service = nullptr;
   ClientAccountId account;
+  /// Parts of the prompt that other requests may share.
+  PromptPartHashes shared_parts;
   PlacementRequest placement;
   /// What the refusal was decided on, if the request was refused because of
   /// overload.
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -60,6 +60,11 @@
       pool_(settings.pool, loop),
       placement_(settings.placement, settings.seed),
       answers_(settings.answers),
+      crashes_(settings.pool.source_ip,
+               loop,
+               [this](const Ref<BackendServer>& server, bool ended) {
+                 telemetry_.OnServerChecked(*server, ended);
+               }),
       random_(settings.seed ^ kTargetChoiceSeedMask) {}
 
 Gateway::~Gateway() {
@@ -301,6 +306,8 @@
   placement.prompt_tokens = exchange->request.prompt_tokens;
   placement.prefixes = PromptPrefixes::Of(exchange->request.model,
                                           exchange->request.prompt_parts);
+  exchange->shared_parts = SharedPartHashes(exchange->request.model,
+                                            exchange->request.prompt_parts);
   placement.objective = absl::Milliseconds(route.objective_ms);
   placement.tokens_per_event = std::max(1, exchange->service->tokens_per_event);
   exchange->last_event = exchange->request.last_event;
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "camphorsail/gateway/backend_connection_pool.h"
 #include "camphorsail/gateway/backend_fleet.h"
 #include "camphorsail/gateway/caller_listener.h"
+#include "camphorsail/gateway/crash_watch.h"
 #include "camphorsail/gateway/exchange.h"
 #include "camphorsail/gateway/gateway_gauges.h"
 #include "camphorsail/gateway/gateway_settings.h"
@@ -220,6 +221,7 @@
   Placement placement_;
   DemandMeter demand_;
   AnswerBudget answers_;
+  CrashWatch crashes_;
   RefusalOutbox refusals_;
   absl::flat_hash_map<ModelId, ServiceModel> models_;
   Random random_;
--- a/camphorsail/gateway/gateway_answer.cc
+++ b/camphorsail/gateway/gateway_answer.cc
@@ -267,6 +267,10 @@
     RecordFailure(exchange->attempt->server.get(), ToString(failure),
                   /*unreachable=*/true);
   }
+  if (failure == BackendFailure::kBroken && sent &&
+      !exchange->attempt->has_answer && !exchange->shared_parts.empty()) {
+    crashes_.Check(exchange->attempt->server);
+  }
   RetryOrRefuse(exchange, ToString(failure), /*may_have_run=*/sent,
                 /*timed_out=*/false);
 }
--- a/camphorsail/gateway/gateway_telemetry.cc
+++ b/camphorsail/gateway/gateway_telemetry.cc
@@ -25,6 +25,17 @@
   }
 }
 
+/// @return The ids of the parts of the prompt that other requests may share.
+std::string JoinPartIds(const Exchange& exchange) {
+  constexpr size_t kMaxLoggedParts = 8;
+  const std::vector<PromptPart>& parts = exchange.request.prompt_parts;
+  std::string text;
+  for (size_t i = 0; i + 1 < parts.size() && i < kMaxLoggedParts; ++i) {
+    absl::StrAppend(&text, i == 0 ? "" : ",", parts[i].id);
+  }
+  return text;
+}
+
 /// Adds fields for the part of the answer that the caller has received, and the
 /// objectives of the route for comparison.
 void DescribeAnswer(const Exchange& exchange, LogEvent* event) {
@@ -62,6 +73,12 @@
                                  MetricKind::kCounter,
                                  "Attempts on backend servers that failed.",
                                  {"failure", "next"}});
+  broken_servers_ =
+      metrics_->Declare({"camphorsail_gateway_broken_servers_total",
+                         MetricKind::kCounter,
+                         "Servers on which attempts broke off, by whether they "
+                         "had ended.",
+                         {"state"}});
   first_answer_time_ =
       metrics_->Declare({"camphorsail_gateway_first_answer_seconds",
                          MetricKind::kLatency,
@@ -151,6 +168,25 @@
            absl::ToInt64Milliseconds(now - exchange.attempt->started_at))
       .Add("failure", failure)
       .Add("next", next);
+  if (!exchange.attempt->has_answer && !exchange.shared_parts.empty()) {
+    event.Add("parts", JoinPartIds(exchange));
+  }
+}
+
+void GatewayTelemetry::OnServerChecked(const BackendServer& server,
+                                       bool ended) {
+  metrics_->Increment(broken_servers_, {ended ? "ended" : "still_there"});
+  if (ended) {
+    LogEvent("server_ended", LogLevel::kWarning)
+        .Add("server", server.id)
+        .Add("incarnation", server.incarnation)
+        .Add("load", server.in_flight());
+  } else {
+    LogEvent("server_still_there")
+        .Add("server", server.id)
+        .Add("incarnation", server.incarnation)
+        .Add("load", server.in_flight());
+  }
 }
 
 void GatewayTelemetry::OnUnreceivedRequest(ErrorKind kind) {
--- a/camphorsail/gateway/gateway_telemetry.h
+++ b/camphorsail/gateway/gateway_telemetry.h
@@ -39,6 +39,8 @@
                        std::string_view failure,
                        std::string_view next,
                        MonoTime now);
+  /// It was checked whether a server on which attempts broke off has ended.
+  void OnServerChecked(const BackendServer& server, bool ended);
   /// A request could not be received, see `CallerHandlers`.
   void OnUnreceivedRequest(ErrorKind kind);
 
@@ -46,6 +48,7 @@
   Metrics* const metrics_;
   MetricId requests_;
   MetricId attempts_;
+  MetricId broken_servers_;
   MetricId first_answer_time_;
   MetricId answer_time_;
 };
--- a/camphorsail/net/tcp_socket.cc
+++ b/camphorsail/net/tcp_socket.cc
@@ -116,7 +116,12 @@
   }
   SetNoDelay(fd);
   if (connect(fd, target.get(), target.size) != 0 && errno != EINPROGRESS) {
-    return FailAndClose(fd, "connect");
+    const bool is_refused = errno == ECONNREFUSED;
+    Expected<int> failed = FailAndClose(fd, "connect");
+    if (is_refused) {
+      failed.error().kind = ErrorKind::kNoBackendServer;
+    }
+    return failed;
   }
   return fd;
 }
--- a/camphorsail/net/tcp_socket.h
+++ b/camphorsail/net/tcp_socket.h
@@ -19,8 +19,9 @@
 ///
 /// @param source_ip The connection's source address. Ignored when it is a
 /// wildcard or of another address family than `address`.
-/// @return The descriptor of a socket that may still be connecting. Error:
-/// `kInternal`.
+/// @return The descriptor of a socket that may still be connecting. Errors:
+/// `kNoBackendServer` when it is known at once that nothing listens at the
+/// address, else `kInternal`.
 Expected<int> ConnectTcp(const std::string& source_ip,
                          const NetworkAddress& address);
 
--- a/camphorsail/process/log_schema.h
+++ b/camphorsail/process/log_schema.h
@@ -87,6 +87,12 @@
      "A server is sent no new requests."},
     {"server_unusable", LogVolume::kEveryLine,
      "A server announced an address that cannot be used."},
+    {"server_ended", LogVolume::kBounded,
+     "Attempts on a server broke off before their answers began, and nothing "
+     "listens at its address any more."},
+    {"server_still_there", LogVolume::kBounded,
+     "Attempts on a server broke off before their answers began, but it did "
+     "not refuse a new connection."},
     {"server_superseded", LogVolume::kEveryLine,
      "Another server has taken over a server's address."},
     {"server_suspended", LogVolume::kBounded,
@@ -256,6 +262,9 @@
     {"open", "Open connections of callers."},
     {"operator", "Name that the operator gave."},
     {"operators_port", "Port for operators."},
+    {"parts",
+     "Ids of the parts of the prompt that other requests may share, in their "
+     "order."},
     {"path", "Path of the request."},
     {"pause_limit_ms", "Longest pause between events that the route allows."},
     {"pause_ms", "Longest pause between events of the stream."},
