--- a/tests/fakes/gateway/fake_server.h
+++ b/tests/fakes/gateway/fake_server.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "camphorsail/net/tcp_socket.h"
@@ -15,7 +16,7 @@
 class FakeServer {
  public:
   FakeServer() : fd_(*ListenTcp({"127.0.0.1", 0})) {}
-  ~FakeServer() { close(fd_); }
+  ~FakeServer() { StopListening(); }
   FakeServer(const FakeServer&) = delete;
   FakeServer& operator=(const FakeServer&) = delete;
 
@@ -30,6 +31,14 @@
       connection->Poll();
     }
   }
+  /// Resets all connections and stops listening, as a process that ends.
+  void Crash() {
+    Poll();
+    StopListening();
+    for (const auto& connection : connections_) {
+      connection->Reset();
+    }
+  }
   /// @return Connections accepted so far.
   size_t connection_count() {
     Poll();
@@ -51,6 +60,12 @@
   }
 
  private:
+  void StopListening() {
+    if (fd_ >= 0) {
+      close(std::exchange(fd_, -1));
+    }
+  }
+
   int fd_;
   std::vector<std::unique_ptr<RawSocket>> connections_;
 };
--- a/tests/fakes/gateway/test_dialect.h
+++ b/tests/fakes/gateway/test_dialect.h
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <string>
 
+#include "absl/strings/str_split.h"
 #include "camphorsail/gateway/wire_dialect.h"
 
 namespace camphorsail {
@@ -27,6 +28,11 @@
     if (const std::string* tokens = head.headers.Find("X-Prompt")) {
       request.prompt_tokens = Tokens(std::atoi(tokens->c_str()));
     }
+    if (const std::string* parts = head.headers.Find("X-Parts")) {
+      for (const absl::string_view part : absl::StrSplit(*parts, ',')) {
+        request.prompt_parts.push_back({std::string(part), Tokens(100)});
+      }
+    }
     return request;
   };
   dialect.write_forward_headers = [](const ForwardParameters& parameters,
