An entry that is nested deeply or starts in the future takes no control VM along

Reported by other operators: one odd entry among those of the servers ended the machines that read it, again and again. Here a registration goes to one control VM; 4 MiB of "[" take 317 MB there (nlohmann::json::parse, measured apart), more than a control VM has, and a valid document of that depth ends a process that copies it. ParseJsonBody checks the depth with a SAX pass before it builds anything; registrations, routing documents, announcements, engine states and operators' requests use it. Port 0 and a start more than an hour in the future are refused: the latter would hide all that the real server says later.

RejectsDeepNestingAndLargeNumbersInLittleMemory, RejectsAStartInTheFuture and the new rows of RejectsUnusableServers cover them.

--- a/camphorsail/admin/admin_request.cc
+++ b/camphorsail/admin/admin_request.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "camphorsail/http/json_body.h"
 
 namespace camphorsail {
 
@@ -54,8 +55,8 @@
 }
 
 Expected<nlohmann::json> ParseBody(const HttpRequest& request) {
-  nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
-  if (body.is_discarded() || !body.is_object()) {
+  Expected<nlohmann::json> body = ParseJsonBody(request.body);
+  if (body && !body->is_object()) {
     return Fail(ErrorKind::kInvalidRequest,
                 "the request body is not a JSON object");
   }
--- a/camphorsail/runtime/order_sender.cc
+++ b/camphorsail/runtime/order_sender.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/time/time.h"
 #include "camphorsail/base/monotonic_clock.h"
+#include "camphorsail/http/json_body.h"
 #include "camphorsail/orders/engine_json.h"
 
 namespace camphorsail {
@@ -20,7 +21,11 @@
 std::optional<EngineObservation> ParseObservation(
     const EngineCallAction& action,
     const std::string& answer) {
-  const nlohmann::json json = nlohmann::json::parse(answer, nullptr, false);
+  const Expected<nlohmann::json> body = ParseJsonBody(answer);
+  if (!body) {
+    return std::nullopt;
+  }
+  const nlohmann::json& json = *body;
   if (!json.is_object() || !json.contains("busy") ||
       !json.at("busy").is_boolean()) {
     return std::nullopt;
--- a/camphorsail/runtime/server_directory.cc
+++ b/camphorsail/runtime/server_directory.cc
@@ -4,19 +4,19 @@
 #include <set>
 #include <utility>
 
+#include "camphorsail/http/json_body.h"
+
 namespace camphorsail {
 
 ServerDirectory::ServerDirectory(ServerRegistrySettings settings, Hooks hooks)
     : hooks_(std::move(hooks)), registry_(std::move(settings)) {}
 
 Expected<void> ServerDirectory::Announce(std::string_view body, MonoTime now) {
-  const nlohmann::json json =
-      nlohmann::json::parse(body.begin(), body.end(), nullptr, false);
-  if (json.is_discarded()) {
-    return Fail(ErrorKind::kInvalidRequest,
-                "the body of the announcement is not valid JSON");
+  const Expected<nlohmann::json> json = ParseJsonBody(body);
+  if (!json) {
+    return tl::unexpected<Error>(json.error());
   }
-  Expected<ServerAnnouncement> announcement = ParseServerAnnouncement(json);
+  Expected<ServerAnnouncement> announcement = ParseServerAnnouncement(*json);
   if (!announcement) {
     return tl::unexpected<Error>(announcement.error());
   }
--- a/tests/unit/platform/platform_test.cc
+++ b/tests/unit/platform/platform_test.cc
@@ -1,5 +1,8 @@
+#include <sys/resource.h>
+
 #include <nlohmann/json.hpp>
 
+#include "absl/strings/str_cat.h"
 #include "gtest/gtest.h"
 #include "platform/registration.h"
 #include "platform/routing_document.h"
@@ -9,6 +12,8 @@
 namespace camphorsail::platform {
 namespace {
 
+const absl::Time kNow = absl::FromUnixSeconds(1800000000);
+
 TEST(RoutingDocumentTest, ParsesAllFieldsAndKeepsTheDocument) {
   const Expected<RoutingTable> table = ParseRoutingDocument(kSampleDocument);
   ASSERT_TRUE(table) << table.error().message;
@@ -66,7 +71,8 @@
   const auto announcement = ParseRegistration(
       "i-1",
       R"({"service":"m","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":64,"state":"draining",
-"coldLeftMs":0,"stage":"both","models":[{"name":"m"}],"sequence":4,"born":1700000000000})");
+"coldLeftMs":0,"stage":"both","models":[{"name":"m"}],"sequence":4,"born":1700000000000})",
+      kNow);
   ASSERT_TRUE(announcement) << announcement.error().message;
   EXPECT_EQ(announcement->server, BackendServerId("i-1"));
   EXPECT_TRUE(announcement->leaving);
@@ -83,10 +89,10 @@
                                {"zone", "z"},      {"slots", 6},
                                {"state", "ready"}, {"sequence", 1},
                                {"born", 5}};
-  ASSERT_TRUE(ParseRegistration("i", good.dump()));
-  EXPECT_FALSE(ParseRegistration("", good.dump()));
-  EXPECT_FALSE(ParseRegistration("i", "not json"));
-  EXPECT_FALSE(ParseRegistration("i", "[1]"));
+  ASSERT_TRUE(ParseRegistration("i", good.dump(), kNow));
+  EXPECT_FALSE(ParseRegistration("", good.dump(), kNow));
+  EXPECT_FALSE(ParseRegistration("i", "not json", kNow));
+  EXPECT_FALSE(ParseRegistration("i", "[1]", kNow));
   for (const auto& [key, value] :
        std::vector<std::pair<const char*, nlohmann::json>>{
            {"service", 7},
@@ -97,18 +103,63 @@
            {"slots", "six"},
            {"state", "asleep"},
            {"sequence", "x"},
+           {"sequence", 1e30},
+           {"slots", 1e30},
+           {"address", "10.0.0.9:0"},
+           {"address", "10.0.0.9:70000"},
+           {"address", "10.0.0.9:-1"},
+           {"address", "10.0.0.9:99999999999999999999"},
            {"born", "x"}}) {
     nlohmann::json bad = good;
     bad[key] = value;
-    EXPECT_FALSE(ParseRegistration("i", bad.dump())) << key << value;
+    EXPECT_FALSE(ParseRegistration("i", bad.dump(), kNow)) << key << value;
   }
   for (const char* key : {"service", "address", "zone", "slots", "state"}) {
     nlohmann::json bad = good;
     bad.erase(key);
-    EXPECT_FALSE(ParseRegistration("i", bad.dump())) << key;
+    EXPECT_FALSE(ParseRegistration("i", bad.dump(), kNow)) << key;
   }
 }
 
+// Reported by other operators: an entry that was nested very deeply, or had a
+// number too large, ended each process that read it.
+TEST(RegistrationTest, RejectsDeepNestingAndLargeNumbersInLittleMemory) {
+  constexpr size_t kLevels = 2'000'000;
+  constexpr long kMaxGrowthKilobytes = 64 * 1024;
+  const auto peak_kilobytes = [] {
+    rusage usage = {};
+    getrusage(RUSAGE_SELF, &usage);
+    return usage.ru_maxrss;
+  };
+  const std::string open(kLevels, '[');
+  const std::string closed = open + std::string(kLevels, ']');
+  const std::string start =
+      R"({"service":"m","address":"10.0.0.9:80","zone":"z","slots":6,"state":"ready","sequence":1,"x":)";
+  const std::string in_a_field = start + closed + "}";
+  const long before = peak_kilobytes();
+  for (const std::string& body : {open, closed, in_a_field}) {
+    EXPECT_FALSE(ParseRegistration("i", body, kNow));
+    EXPECT_FALSE(ParseRoutingDocument(body));
+  }
+  EXPECT_LT(peak_kilobytes() - before, kMaxGrowthKilobytes);
+  EXPECT_FALSE(ParseRegistration("i", start + "1e999}", kNow));
+  EXPECT_TRUE(ParseRegistration("i", start + "1}", kNow));
+}
+
+// Guards against one odd entry that hides all that the real server says later.
+TEST(RegistrationTest, RejectsAStartInTheFuture) {
+  const auto parse = [](absl::Time born) {
+    return ParseRegistration(
+        "i",
+        absl::StrCat(
+            R"({"service":"m","address":"10.0.0.9:80","zone":"z","slots":6,"state":"ready","sequence":1,"born":)",
+            absl::ToUnixMillis(born), "}"),
+        kNow);
+  };
+  EXPECT_TRUE(parse(kNow + absl::Minutes(1)));
+  EXPECT_FALSE(parse(kNow + absl::Hours(24)));
+}
+
 // Guards against callers that set headers that only the gateway may set, and
 // against forwarding a caller's API key to a server.
 TEST(WireDialectTest, OnlyTheGatewaySetsItsHeaders) {
