A stream that ends inside an event has been broken off, whatever its framing

New on the users' pages: a stream may come with neither a length nor chunks and end with its connection. A server that ended in the middle of such a stream left callers with a stream that looked complete, with half an event; one that ended after the head gave them an empty success. Cause: Gateway::OnEnd forwarded the bytes after the last complete event and then the end of the answer. Such a stream is now a broken attempt: resumed where the route allows it, else aborted, and evidence like any other break when its answer had not begun.

A stream without a length that is closed exactly between two events can't be told from a complete one by its bytes (open).

--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -168,6 +168,11 @@
   /// Handles an attempt that ended without a complete answer.
   /// @param sent True when the server may have received the request.
   void OnFailure(Exchange* exchange, BackendFailure failure, bool sent);
+  /// @return True when the answer is a stream that ended inside an event, or
+  /// without a length before its first event, so that it was broken off.
+  static bool IsStreamCut(const Exchange& exchange);
+  /// Handles an attempt that broke off after it had been sent.
+  void OnBroken(Exchange* exchange, std::string_view failure);
   /// Handles an attempt that has made no progress for too long.
   void OnNoProgress(Exchange* exchange);
   /// Handles a request whose deadline has passed.
--- a/camphorsail/gateway/gateway_answer.cc
+++ b/camphorsail/gateway/gateway_answer.cc
@@ -228,11 +228,11 @@
                   /*timed_out=*/false);
     return;
   }
+  if (IsStreamCut(*exchange)) {
+    OnBroken(exchange, "cut_event");
+    return;
+  }
   if (exchange->streaming) {
-    exchange->caller->SendData(attempt.events.rest());
-    if (exchange->finished) {
-      return;
-    }
     telemetry_.OnAnswered(*exchange, status, loop_->now());
     RecordSettled(exchange);
     RecordStreamEnd(*exchange);
@@ -259,10 +259,7 @@
     RecordFailure(attempt.server.get(), absl::StrCat("status_", status),
                   /*unreachable=*/false);
   }
-  const bool is_short_stream =
-      exchange->route->kind == RouteKind::kStream && status == kStreamStatus;
-  const std::string body =
-      is_short_stream ? attempt.events.rest() : attempt.body;
+  const std::string body = attempt.body;
   const HttpHeaders headers = ReplyHeaders(*attempt.head);
   CallerConnection* caller = exchange->caller;
   telemetry_.OnAnswered(*exchange, status, loop_->now());
@@ -278,14 +275,35 @@
     RecordFailure(exchange->attempt->server.get(), ToString(failure),
                   /*unreachable=*/true);
   }
-  if (failure == BackendFailure::kBroken && sent &&
-      HoldForCrashCheck(exchange, ToString(failure))) {
+  if (failure == BackendFailure::kBroken && sent) {
+    OnBroken(exchange, ToString(failure));
     return;
   }
   RetryOrRefuse(exchange, ToString(failure), /*may_have_run=*/sent,
                 /*timed_out=*/false);
 }
 
+bool Gateway::IsStreamCut(const Exchange& exchange) {
+  const ExchangeAttempt& attempt = *exchange.attempt;
+  if (exchange.route->kind != RouteKind::kStream ||
+      attempt.head->status != kStreamStatus) {
+    return false;
+  }
+  const HttpHeaders& headers = attempt.head->headers;
+  const bool has_framing = headers.Find("content-length") != nullptr ||
+                           headers.Find("transfer-encoding") != nullptr;
+  // Without a length, the end of the connection may be the end of the server.
+  return !attempt.events.rest().empty() ||
+         (!has_framing && attempt.events.count() == 0);
+}
+
+void Gateway::OnBroken(Exchange* exchange, std::string_view failure) {
+  if (!HoldForCrashCheck(exchange, failure)) {
+    RetryOrRefuse(exchange, failure, /*may_have_run=*/true,
+                  /*timed_out=*/false);
+  }
+}
+
 void Gateway::RecordFailure(BackendServer* server,
                             std::string_view failure,
                             bool unreachable) {
--- a/tests/unit/gateway/gateway_test.cc
+++ b/tests/unit/gateway/gateway_test.cc
@@ -283,6 +283,108 @@
   }
 }
 
+/// Head of a stream that ends with its connection.
+std::string UnframedHead(const std::string& signature) {
+  return "HTTP/1.1 200 OK\r\nX-Id: 42\r\nX-Signature: " + signature +
+         "\r\n\r\n";
+}
+
+// New on the users' pages: a stream may have neither a length nor chunks. Guards
+// against one that ends inside an event, because its server ended, being
+// forwarded as complete.
+TEST_F(GatewayTest, StreamWithoutLengthThatEndsInsideAnEventIsAborted) {
+  RawSocket caller = Call("/once/x");
+  RawSocket* server = NextAttempt();
+  ASSERT_NE(server, nullptr);
+  server->Write(UnframedHead("one") + "id: 0\ndata: a\n\nid: 1\nda");
+  ASSERT_TRUE(WaitFor(&caller, "data: a\n\n"));
+  server->Close();
+  EXPECT_TRUE(driver_.RunUntil([&] { return caller.HasEnded(); }));
+  EXPECT_FALSE(caller.Has("\r\n0\r\n"));
+  EXPECT_FALSE(caller.Has("id: 1"));
+  EXPECT_TRUE(NoFurtherAttempt());
+}
+
+TEST_F(GatewayTest, StreamWithoutLengthThatEndsInsideAnEventIsResumed) {
+  RawSocket caller = Call("/stream/x");
+  RawSocket* first = NextAttempt();
+  ASSERT_NE(first, nullptr);
+  first->Write(UnframedHead("one") + "id: 0\ndata: a\n\nid: 1\nda");
+  ASSERT_TRUE(WaitFor(&caller, "data: a\n\n"));
+  first->Close();
+  RawSocket* second = NextAttempt();
+  ASSERT_NE(second, nullptr);
+  EXPECT_NE(last_request_.find("X-Last: 0\r\n"), std::string::npos);
+  // The resumed stream has no length either, and ends with its last event.
+  second->Write(UnframedHead("two") + "id: 1\ndata: b\n\n");
+  second->Close();
+  ASSERT_TRUE(WaitFor(&caller, "\r\n0\r\n\r\n"));
+  EXPECT_TRUE(caller.Has("data: b\n\n"));
+}
+
+// Guards against a resumed stream that is cut again looking complete.
+TEST_F(GatewayTest, ResumedStreamWithoutLengthThatIsCutIsAborted) {
+  RawSocket caller = Call("/stream/x");
+  for (int i = 0; i < 2; ++i) {
+    RawSocket* server = NextAttempt();
+    ASSERT_NE(server, nullptr);
+    const std::string id = std::to_string(i);
+    server->Write(UnframedHead(id) + "id: " + id + "\ndata: a\n\nid: 9\nda");
+    ASSERT_TRUE(WaitFor(&caller, "id: " + id + "\n"));
+    server->Close();
+  }
+  EXPECT_TRUE(driver_.RunUntil([&] { return caller.HasEnded(); }));
+  EXPECT_FALSE(caller.Has("\r\n0\r\n"));
+  EXPECT_FALSE(caller.Has("id: 9"));
+}
+
+// Guards against an empty success when a server ends after the head of an
+// answer without a length, and against one that ends inside its first event.
+TEST_F(GatewayTest, StreamWithoutLengthThatEndsBeforeAnEventIsNoAnswer) {
+  for (const char* body : {"", "id: 0\ndata"}) {
+    RawSocket caller = Call("/once/x");
+    RawSocket* server = NextAttempt();
+    ASSERT_NE(server, nullptr);
+    server->Write(UnframedHead("one") + body);
+    driver_.RunFor(absl::Milliseconds(20));
+    server->Close();
+    ASSERT_TRUE(WaitFor(&caller, "HTTP/1.1 502")) << body;
+    EXPECT_TRUE(caller.Has("\"request_was_run\":\"unknown\""));
+  }
+}
+
+// An answer without a length that is reset, or half closed, before its end.
+TEST_F(GatewayTest, StreamWithoutLengthEndsOnlyWithItsConnection) {
+  RawSocket reset = Call("/once/x");
+  RawSocket* server = NextAttempt();
+  ASSERT_NE(server, nullptr);
+  server->Write(UnframedHead("one") + "id: 0\ndata: a\n\n");
+  ASSERT_TRUE(WaitFor(&reset, "data: a\n\n"));
+  server->Reset();
+  EXPECT_TRUE(driver_.RunUntil([&] { return reset.HasEnded(); }));
+  EXPECT_FALSE(reset.Has("\r\n0\r\n"));
+  RawSocket half_closed = Call("/once/x");
+  server = NextAttempt();
+  ASSERT_NE(server, nullptr);
+  server->Write(UnframedHead("one") + "id: 0\ndata: a\n\n");
+  ASSERT_TRUE(WaitFor(&half_closed, "data: a\n\n"));
+  server->ShutdownWrite();
+  EXPECT_TRUE(WaitFor(&half_closed, "\r\n0\r\n\r\n"));
+}
+
+// A whole answer that is no stream may have no length either.
+TEST_F(GatewayTest, CallWithoutLengthIsCompleteWithItsConnection) {
+  RawSocket caller = Call("/safe/x");
+  RawSocket* server = NextAttempt();
+  ASSERT_NE(server, nullptr);
+  server->Write(UnframedHead("one") + "whole");
+  driver_.RunFor(absl::Milliseconds(20));
+  EXPECT_FALSE(caller.Has("HTTP/1.1"));
+  server->Close();
+  ASSERT_TRUE(WaitFor(&caller, "whole"));
+  EXPECT_TRUE(caller.Has("Content-Length: 5"));
+}
+
 TEST_F(GatewayTest, CallerThatLeavesCancelsItsCall) {
   RawSocket caller = Call("/unsafe/x");
   RawSocket* server = NextAttempt();
