A planned stop answers what it cannot finish, and takes less when it has less time

Reported by other operators: in a planned stop of a front, requests that came late in the grace were taken, passed on and cut without an answer at its end. Here requests are refused from 2.5 s after SIGTERM on, so that with 8 s of grace few are in progress at the end; but those were cut, and the 2.5 s were fixed, whatever the grace. The gateway now answers them at the end (502, may have run; streams are aborted), and takes requests for a third of the drain time at most.

EndOfADrainAnswersWhatIsInProgress, LateRequestsOfADrainAreRefused.

--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -19,9 +19,6 @@
 constexpr double kProgressTimeoutFactor = 2;
 constexpr absl::Duration kMinCallProgressTimeout = absl::Milliseconds(150);
 constexpr absl::Duration kMinStreamProgressTimeout = absl::Milliseconds(1000);
-/// Requests that arrive later than this after the start of a drain are refused,
-/// because they might not be complete when the process has to exit.
-constexpr absl::Duration kDrainAdmissionTime = absl::Milliseconds(2500);
 /// A request is refused when the best server is full and the start of the
 /// answer is expected later than this fraction of the latency objective,
 /// because a late answer has little value and delays other requests.
@@ -156,12 +153,29 @@
   return !draining_ && index_ && IsLeaseValid();
 }
 
-void Gateway::BeginDrain() {
+void Gateway::BeginDrain(absl::Duration admission_time) {
   draining_ = true;
-  drain_since_ = loop_->now();
+  accepts_until_ = loop_->now() + admission_time;
   callers_->CloseConnectionsAfterNextAnswer();
 }
 
+void Gateway::EndDrain() {
+  std::vector<Exchange*> in_progress;
+  for (const auto& [caller, exchange] : exchanges_) {
+    in_progress.push_back(exchange.get());
+  }
+  for (Exchange* exchange : in_progress) {
+    if (exchange->finished) {
+      continue;
+    }
+    if (exchange->attempt.has_value()) {
+      ++exchange->possible_runs;
+    }
+    EndAttempt(exchange, /*cancel=*/true);
+    Refuse(exchange, ErrorKind::kShuttingDown, "the gateway is shutting down");
+  }
+}
+
 void Gateway::StopCallers() {
   callers_->StopAccepting();
   callers_->CloseConnectionsWhenIdle();
@@ -284,7 +298,7 @@
     exchange->account = account->account;
   }
   exchange->placement.urgency = index.UrgencyOf(account, route);
-  if (draining_ && now >= drain_since_ + kDrainAdmissionTime) {
+  if (now >= accepts_until_) {
     return Fail(ErrorKind::kShuttingDown, "the gateway is shutting down");
   }
   double sum = 0;
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -94,7 +94,11 @@
 
   /// Starts a graceful shutdown: reports the gateway as not ready and closes
   /// each connection after its next answer.
-  void BeginDrain();
+  /// @param admission_time Time from now for which requests are still accepted.
+  /// Later ones might not be complete when the process has to exit.
+  void BeginDrain(absl::Duration admission_time);
+  /// Answers all requests in progress with an error, because the process ends.
+  void EndDrain();
   /// Stops accepting connections and closes the idle ones.
   void StopCallers();
   /// @return True when no request is in progress.
@@ -285,7 +289,8 @@
   MonoTime lease_valid_until_;
   int gateway_count_ = 1;
   bool draining_ = false;
-  MonoTime drain_since_;
+  /// Requests that arrive later are refused.
+  MonoTime accepts_until_ = MonoTime::Infinite();
   absl::flat_hash_map<ModelId, GatewayRetryBudget> retry_budgets_;
   absl::flat_hash_map<CallerConnection*, std::unique_ptr<Exchange>> exchanges_;
   std::unique_ptr<CallerListener> callers_;
--- a/camphorsail/runtime/gateway_daemon.cc
+++ b/camphorsail/runtime/gateway_daemon.cc
@@ -34,6 +34,9 @@
 constexpr absl::Duration kMaxReconnectPause = absl::Milliseconds(300);
 /// Shorter than the time after which the kernel retransmits a lost SYN packet.
 constexpr absl::Duration kHandshakeTimeout = absl::Milliseconds(500);
+/// Largest part of the drain time in which requests are still accepted. The
+/// rest is for those that have just arrived.
+constexpr double kDrainAdmissionFraction = 1.0 / 3;
 constexpr absl::Duration kDrainCheckInterval = absl::Milliseconds(50);
 /// Part of the drain time that is reserved for the process to end.
 constexpr absl::Duration kExitMargin = absl::Milliseconds(400);
@@ -337,11 +340,14 @@
   }
   drain_started_at_ = loop_.now();
   LogEvent("daemon_draining").Add("signal", signal);
-  gateway_.BeginDrain();
-  loop_.RunAt(drain_started_at_ + options_.drain_delay,
-              [this] { gateway_.StopCallers(); });
-  loop_.RunAt(drain_started_at_ + options_.drain_delay,
-              [this] { CheckDrained(); });
+  const absl::Duration admission_time =
+      std::min(options_.drain_delay,
+               options_.drain_timeout * kDrainAdmissionFraction);
+  gateway_.BeginDrain(admission_time);
+  loop_.RunAt(drain_started_at_ + admission_time, [this] {
+    gateway_.StopCallers();
+    CheckDrained();
+  });
 }
 
 void GatewayDaemon::Reload() {
@@ -355,6 +361,7 @@
   const absl::Duration limit = options_.drain_timeout - kExitMargin;
   all_requests_finished_ = gateway_.IsIdle();
   if (all_requests_finished_ || loop_.now() - drain_started_at_ >= limit) {
+    gateway_.EndDrain();
     // The last answers may not have been written yet.
     loop_.RunAt(loop_.now() + kDrainCheckInterval, [this] { loop_.Stop(); });
     return;
--- a/tests/unit/gateway/gateway_test.cc
+++ b/tests/unit/gateway/gateway_test.cc
@@ -402,11 +402,41 @@
   EXPECT_TRUE(driver_.RunUntil([&] { return server->HasEnded(); }));
 }
 
+// Reported by other operators: at the end of a planned stop, requests that had
+// been passed on were cut without an answer, also ones that may not be repeated.
+TEST_F(GatewayTest, EndOfADrainAnswersWhatIsInProgress) {
+  RawSocket call = Call("/unsafe/x");
+  ASSERT_NE(NextAttempt(), nullptr);
+  RawSocket stream = Call("/once/x");
+  RawSocket* server = NextAttempt();
+  ASSERT_NE(server, nullptr);
+  server->Write(StreamHead("one") + "f\r\nid: 0\ndata: a\n\n\r\n");
+  ASSERT_TRUE(WaitFor(&stream, "data: a\n\n"));
+  gateway_.BeginDrain(absl::Seconds(2));
+  gateway_.StopCallers();
+  gateway_.EndDrain();
+  ASSERT_TRUE(WaitFor(&call, "HTTP/1.1 502"));
+  EXPECT_TRUE(call.Has("\"request_was_run\":\"unknown\""));
+  EXPECT_TRUE(driver_.RunUntil([&] { return stream.HasEnded(); }));
+  EXPECT_FALSE(stream.Has("\r\n0\r\n"));
+  EXPECT_TRUE(gateway_.IsIdle());
+}
+
+// Reported by other operators: requests that came late in a planned stop were
+// taken although they could not be finished in time.
+TEST_F(GatewayTest, LateRequestsOfADrainAreRefused) {
+  gateway_.BeginDrain(absl::ZeroDuration());
+  RawSocket caller = Call("/unsafe/x");
+  ASSERT_TRUE(WaitFor(&caller, "HTTP/1.1 503"));
+  EXPECT_TRUE(caller.Has("\"request_was_run\":\"no\""));
+  EXPECT_TRUE(NoFurtherAttempt());
+}
+
 TEST_F(GatewayTest, DrainFinishesRequestsAndIsNotReady) {
   RawSocket caller = Call("/unsafe/x");
   RawSocket* server = NextAttempt();
   ASSERT_NE(server, nullptr);
-  gateway_.BeginDrain();
+  gateway_.BeginDrain(absl::Seconds(2));
   gateway_.StopCallers();
   EXPECT_FALSE(gateway_.IsReady());
   EXPECT_FALSE(gateway_.IsIdle());
@@ -430,7 +460,7 @@
       "POST /unsafe/y HTTP/1.1\r\nHost: h\r\nX-Id: 42\r\nX-Key: key\r\n"
       "Content-Length: 4\r\n\r\nbody");
   RawSocket fresh = Call("/unsafe/z");
-  gateway_.BeginDrain();
+  gateway_.BeginDrain(absl::Seconds(2));
   gateway_.StopCallers();
   for (int i = 0; i < 2; ++i) {
     server = NextAttempt();
