--- a/camphorsail/admin/admin_api.cc
+++ b/camphorsail/admin/admin_api.cc
@@ -16,6 +16,8 @@
   Add(routes, "GET", "/admin/v1/servers", &AdminApi::GetServers);
   Add(routes, "GET", "/admin/v1/engines", &AdminApi::GetEngines);
   Add(routes, "POST", "/admin/v1/engines", &AdminApi::SetEngine);
+  Add(routes, "GET", "/admin/v1/quarantine", &AdminApi::GetQuarantine);
+  Add(routes, "POST", "/admin/v1/quarantine", &AdminApi::ReleaseQuarantine);
   Add(routes, "GET", "/admin/v1/status", &AdminApi::GetStatus);
   Add(routes, "GET", "/admin/v1/refused-minutes", &AdminApi::GetRefusedMinutes);
   Add(routes, "GET", "/admin/v1/timeline", &AdminApi::GetTimeline);
--- a/camphorsail/admin/admin_api.h
+++ b/camphorsail/admin/admin_api.h
@@ -3,12 +3,14 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "camphorsail/base/error.h"
 #include "camphorsail/base/ids.h"
 #include "camphorsail/http/route_table.h"
 #include "camphorsail/peer/peer_transport.h"
 #include "camphorsail/process/options.h"
+#include "camphorsail/quarantine/crash_record.h"
 #include "camphorsail/runtime/control_runtime.h"
 #include "camphorsail/runtime/server_directory.h"
 #include "camphorsail/runtime/timeline_collector.h"
@@ -30,6 +32,8 @@
     ServerDirectory* directory = nullptr;
     TimelineCollector* collector = nullptr;
     PeerTransport* peers = nullptr;
+    /// @return The ends of servers that the gateways know of.
+    std::function<std::vector<CrashRecord>()> crash_records;
     /// @return True when this VM is ready to serve.
     std::function<bool()> is_ready;
     /// Starts the graceful stop of a VM, which may be this one.
@@ -68,6 +72,10 @@
   Expected<HttpResponse> GetTimeline(const HttpRequest& request);
   Expected<HttpResponse> Drain(const HttpRequest& request);
 
+  // Implemented in admin_quarantine.cc.
+  Expected<HttpResponse> GetQuarantine(const HttpRequest& request);
+  Expected<HttpResponse> ReleaseQuarantine(const HttpRequest& request);
+
   // Implemented in admin_engines.cc.
   Expected<HttpResponse> GetEngines(const HttpRequest& request);
   Expected<HttpResponse> SetEngine(const HttpRequest& request);
--- a/camphorsail/explain/request_cause.cc
+++ b/camphorsail/explain/request_cause.cc
@@ -145,6 +145,10 @@
           absl::StrCat(last_->vm, " was stopping and took no more requests"),
           With({last_}, Before("daemon_draining"))};
     }
+    if (code == "prompt_part_quarantined" || code == "prompt_part_suspected" ||
+        !last_->Get("entry").empty()) {
+      return HarmfulPart(code);
+    }
     if (failed_ != nullptr && code != "backend_timeout") {
       return ServerFailed();
     }
@@ -211,6 +215,34 @@
     return {"quorum_lost", "the replicas had no quorum", evidence};
   }
 
+  /// Refused because servers end on a part of the prompt.
+  RequestCause HarmfulPart(const std::string& code) const {
+    const std::string entry = last_->Get("entry");
+    std::vector<const LogLine*> evidence = {last_};
+    for (const LogLine* change : Near(last_->vm, "server_ended")) {
+      evidence.push_back(change);
+    }
+    if (entry.empty()) {
+      return {code,
+              absl::StrCat(last_->Get("crashes"),
+                           " servers ended on requests with part ",
+                           last_->Get("part_hashes"), " of the prompt (parts ",
+                           last_->Get("parts"), "): ", last_->Get("reason")),
+              evidence};
+    }
+    for (const LogLine* change : story_.Changes(last_->vm, "parts_quarantined",
+                                                0, last_->clock.wall_micros)) {
+      if (change->Get("entry") == entry) {
+        evidence.push_back(change);
+      }
+    }
+    return {code,
+            absl::StrCat("parts ", last_->Get("parts"),
+                         " of the prompt are in quarantine, entry ", entry,
+                         ": ", last_->Get("crashes"), " servers ended on it"),
+            evidence};
+  }
+
   RequestCause NoServer() const {
     const auto gone = Before("server_unavailable");
     return {"no_backend_server",
--- a/camphorsail/gateway/exchange.h
+++ b/camphorsail/gateway/exchange.h
@@ -105,6 +105,8 @@
   int failed_sent_attempts = 0;
   /// Failed attempts that a server may have run.
   int possible_runs = 0;
+  /// Servers that ended before they began to answer this request.
+  int ended_servers = 0;
   /// All attempts, including those that did not reach a server; bounds the
   /// total number.
   int started_attempts = 0;
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -275,7 +275,8 @@
     CallerConnection* caller = nullptr;
     uint64_t exchange = 0;
     PromptPartHashes parts;
-    bool is_isolated = false;
+    /// See `CrashRecord`.
+    bool is_repeated = false;
     std::string failure;
   };
   absl::flat_hash_map<const BackendServer*, std::vector<HeldRequest>> held_;
--- a/camphorsail/gateway/gateway_quarantine.cc
+++ b/camphorsail/gateway/gateway_quarantine.cc
@@ -13,6 +13,13 @@
 /// suspected part is on a server.
 constexpr absl::Duration kRetryAfterSuspected = absl::Milliseconds(500);
 
+/// A request that was sent again counts as the repetition of a crash when it
+/// was on its server for this long. Servers that end together for another
+/// reason do so within less.
+constexpr absl::Duration kMinRepeatTime = absl::Milliseconds(10);
+/// Servers that a request may end before it is no longer handed on.
+constexpr int kMaxEndedServers = 2;
+
 CrashId CrashIdOf(const BackendServer& server) {
   return CrashId(MixBits(server.hash ^ MixBits(server.incarnation.value())));
 }
@@ -68,8 +75,9 @@
 }
 
 bool Gateway::MayBeHandedOn(const Exchange& exchange) const {
-  return quarantine_.Judge(exchange.shared_parts, loop_->now()).treatment <
-         PartTreatment::kOneAtATime;
+  return exchange.ended_servers < kMaxEndedServers &&
+         quarantine_.Judge(exchange.shared_parts, loop_->now()).treatment <
+             PartTreatment::kOneAtATime;
 }
 
 bool Gateway::IsPartOnServer(const Exchange& exchange,
@@ -92,9 +100,11 @@
   }
   loop_->Cancel(exchange->progress_timer);
   exchange->is_held = true;
-  held_[attempt.server.get()].push_back(
-      {exchange->caller, exchange->number, exchange->shared_parts,
-       exchange->placement.isolated, std::string(failure)});
+  const bool is_repeated = exchange->placement.isolated &&
+                           loop_->now() - attempt.started_at >= kMinRepeatTime;
+  held_[attempt.server.get()].push_back({exchange->caller, exchange->number,
+                                         exchange->shared_parts, is_repeated,
+                                         std::string(failure)});
   crashes_.Check(attempt.server);
   return true;
 }
@@ -112,7 +122,7 @@
     PromptPartHashes parts;
     bool is_repeated = false;
     for (const HeldRequest& request : held) {
-      is_repeated = is_repeated || request.is_isolated;
+      is_repeated = is_repeated || request.is_repeated;
       parts.insert(parts.end(), request.parts.begin(), request.parts.end());
     }
     quarantine_.OnCrash(CrashIdOf(*server), parts, is_repeated, now);
@@ -127,6 +137,7 @@
     }
     Exchange* exchange = found->second.get();
     exchange->is_held = false;
+    exchange->ended_servers += ended ? 1 : 0;
     RetryOrRefuse(exchange, request.failure, /*may_have_run=*/true,
                   /*timed_out=*/false);
   }
--- a/camphorsail/quarantine/crash_evidence.cc
+++ b/camphorsail/quarantine/crash_evidence.cc
@@ -5,6 +5,12 @@
 #include <limits>
 
 namespace camphorsail {
+namespace {
+
+/// Parts whose answers are remembered.
+constexpr size_t kMaxClearedParts = 1024;
+
+}  // namespace
 
 void CrashEvidence::Add(CrashId crash,
                         const PromptPartHashes& suspects,
@@ -14,33 +20,26 @@
   Crash& entry = found->second;
   entry.at = is_new ? at : std::min(entry.at, at);
   entry.is_repeated = entry.is_repeated || is_repeated;
-  for (const PromptPartHash part : suspects) {
-    entry.suspects.try_emplace(part, false);
-  }
+  entry.suspects.insert(suspects.begin(), suspects.end());
   while (entry.suspects.size() > kMaxSuspects) {
     entry.suspects.erase(std::prev(entry.suspects.end()));
   }
   LimitSize();
 }
 
-void CrashEvidence::Clear(PromptPartHash part) {
-  for (auto& [crash, entry] : crashes_) {
-    if (const auto found = entry.suspects.find(part);
-        found != entry.suspects.end()) {
-      found->second = true;
-    }
+void CrashEvidence::Clear(PromptPartHash part, MonoTime at) {
+  MonoTime& until = cleared_until_.try_emplace(part, at).first->second;
+  until = std::max(until, at);
+  while (cleared_until_.size() > kMaxClearedParts) {
+    cleared_until_.erase(std::min_element(
+        cleared_until_.begin(), cleared_until_.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; }));
   }
 }
 
-void CrashEvidence::Clear(CrashId crash, PromptPartHash part) {
-  const auto found = crashes_.find(crash);
-  if (found == crashes_.end()) {
-    return;
-  }
-  if (const auto suspect = found->second.suspects.find(part);
-      suspect != found->second.suspects.end()) {
-    suspect->second = true;
-  }
+bool CrashEvidence::IsClearedOf(const Crash& crash, PromptPartHash part) const {
+  const auto found = cleared_until_.find(part);
+  return found != cleared_until_.end() && found->second >= crash.at;
 }
 
 void CrashEvidence::Merge(const std::vector<CrashRecord>& records,
@@ -53,13 +52,14 @@
     PromptPartHashes parts;
     for (const CrashSuspect& suspect : record.suspects) {
       parts.push_back(suspect.part);
-    }
-    Add(record.crash, parts, record.is_repeated, now - age);
-    for (const CrashSuspect& suspect : record.suspects) {
       if (suspect.cleared) {
-        Clear(record.crash, suspect.part);
+        const auto known = crashes_.find(record.crash);
+        Clear(suspect.part, known == crashes_.end()
+                                ? now - age
+                                : std::max(now - age, known->second.at));
       }
     }
+    Add(record.crash, parts, record.is_repeated, now - age);
   }
 }
 
@@ -67,6 +67,9 @@
   std::erase_if(crashes_, [&](const auto& item) {
     return now - item.second.at >= kLifetime;
   });
+  std::erase_if(cleared_until_, [&](const auto& item) {
+    return now - item.second >= kLifetime;
+  });
 }
 
 std::vector<CrashRecord> CrashEvidence::Export(MonoTime now) const {
@@ -79,8 +82,8 @@
         std::clamp<int64_t>(absl::ToInt64Milliseconds(now - entry.at), 0,
                             std::numeric_limits<uint32_t>::max()));
     record.is_repeated = entry.is_repeated;
-    for (const auto& [part, cleared] : entry.suspects) {
-      record.suspects.push_back({part, cleared});
+    for (const PromptPartHash part : entry.suspects) {
+      record.suspects.push_back({part, IsClearedOf(entry, part)});
     }
     records.push_back(std::move(record));
   }
@@ -91,8 +94,9 @@
   uint64_t digest = 0;
   for (const auto& [crash, entry] : crashes_) {
     digest = MixBits(digest ^ crash.value()) + (entry.is_repeated ? 1 : 0);
-    for (const auto& [part, cleared] : entry.suspects) {
-      digest = MixBits(digest ^ part.value()) + (cleared ? 1 : 0);
+    for (const PromptPartHash part : entry.suspects) {
+      digest =
+          MixBits(digest ^ part.value()) + (IsClearedOf(entry, part) ? 1 : 0);
     }
   }
   return digest;
@@ -101,7 +105,7 @@
 bool CrashEvidence::IsCleared(PromptPartHash part) const {
   bool is_suspect = false;
   for (const auto& [crash, entry] : crashes_) {
-    if (entry.Accuses(part)) {
+    if (Accuses(entry, part)) {
       return false;
     }
     is_suspect = is_suspect || entry.suspects.contains(part);
@@ -110,9 +114,10 @@
 }
 
 void CrashEvidence::LimitSize() {
-  const auto accuses_nothing = [](const Crash& crash) {
-    return std::all_of(crash.suspects.begin(), crash.suspects.end(),
-                       [](const auto& suspect) { return suspect.second; });
+  const auto accuses_nothing = [this](const Crash& crash) {
+    return std::all_of(
+        crash.suspects.begin(), crash.suspects.end(),
+        [&](PromptPartHash part) { return IsClearedOf(crash, part); });
   };
   while (crashes_.size() > kMaxCrashes) {
     crashes_.erase(std::min_element(
--- a/camphorsail/quarantine/crash_evidence.h
+++ b/camphorsail/quarantine/crash_evidence.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -13,18 +14,19 @@
 namespace camphorsail {
 
 /// The ends of backend servers and the prompt parts that may have caused them,
-/// as far as one process knows. Copies on several processes are merged in any
-/// order and any number of times: crashes and suspects only accumulate, and a
-/// suspect that was cleared stays cleared for that crash (a state-based CRDT,
-/// Shapiro et al. 2011). The size is bounded. Not thread-safe.
+/// as far as one process knows. An answer that begins on a part clears it of
+/// all crashes until then. Copies on several processes are merged in any order
+/// and any number of times: crashes and suspects accumulate, and the time of
+/// the latest answer on a part only rises (a state-based CRDT, Shapiro et al.
+/// 2011). The size is bounded. Not thread-safe.
 class CrashEvidence {
  public:
   /// Crashes that are kept. The oldest are dropped first, and before them those
   /// without a suspect.
-  static constexpr size_t kMaxCrashes = 32;
+  static constexpr size_t kMaxCrashes = 64;
   /// Suspects of one crash. Those with the lowest hashes are kept, so that all
   /// processes keep the same ones.
-  static constexpr size_t kMaxSuspects = 32;
+  static constexpr size_t kMaxSuspects = 16;
   /// Time for which a crash is kept.
   static constexpr absl::Duration kLifetime = absl::Minutes(10);
 
@@ -32,14 +34,7 @@
     MonoTime at;
     /// See `CrashRecord`.
     bool is_repeated = false;
-    /// Whether each suspect was cleared.
-    std::map<PromptPartHash, bool> suspects;
-
-    /// @return True when the part is a suspect that was not cleared.
-    bool Accuses(PromptPartHash part) const {
-      const auto found = suspects.find(part);
-      return found != suspects.end() && !found->second;
-    }
+    std::set<PromptPartHash> suspects;
   };
   using Crashes = std::map<CrashId, Crash>;
 
@@ -49,10 +44,8 @@
            const PromptPartHashes& suspects,
            bool is_repeated,
            MonoTime at);
-  /// Clears a part in all crashes that are known.
-  void Clear(PromptPartHash part);
-  /// Clears a part in one crash.
-  void Clear(CrashId crash, PromptPartHash part);
+  /// Clears a part of all crashes until `at`.
+  void Clear(PromptPartHash part, MonoTime at);
   /// Adds what another process knows.
   void Merge(const std::vector<CrashRecord>& records, MonoTime now);
   /// Drops the crashes whose lifetime is over.
@@ -66,12 +59,20 @@
   /// every crash of which it is.
   bool IsCleared(PromptPartHash part) const;
 
+  /// @return True when the part is a suspect that was not cleared.
+  bool Accuses(const Crash& crash, PromptPartHash part) const {
+    return crash.suspects.contains(part) && !IsClearedOf(crash, part);
+  }
   const Crashes& crashes() const { return crashes_; }
 
  private:
+  bool IsClearedOf(const Crash& crash, PromptPartHash part) const;
   void LimitSize();
 
   Crashes crashes_;
+  /// Until when each part is cleared. Kept for longer than the crashes, which
+  /// may be dropped and come back from another process.
+  std::map<PromptPartHash, MonoTime> cleared_until_;
 };
 
 }  // namespace camphorsail
--- a/camphorsail/quarantine/crash_record.h
+++ b/camphorsail/quarantine/crash_record.h
@@ -26,8 +26,9 @@
   CrashId crash;
   /// Time since the end, in milliseconds.
   uint32_t age_ms = 0;
-  /// True when a request that the server had was sent because of an earlier
-  /// crash. The two crashes then have no common cause outside the request.
+  /// True when a request that the server had was sent some time before it
+  /// ended, and because of an earlier crash. The two crashes then have no
+  /// common cause outside the request.
   bool is_repeated = false;
   /// The shared parts of the requests whose answers had not begun, at all
   /// gateways.
--- a/camphorsail/quarantine/part_quarantine.cc
+++ b/camphorsail/quarantine/part_quarantine.cc
@@ -36,9 +36,10 @@
 bool PartQuarantine::IsExplained(const CrashEvidence::Crash& crash) const {
   return std::any_of(
       verdicts_.begin(), verdicts_.end(), [&](const Verdict& verdict) {
-        return std::all_of(
-            verdict.parts.begin(), verdict.parts.end(),
-            [&](PromptPartHash part) { return crash.Accuses(part); });
+        return std::all_of(verdict.parts.begin(), verdict.parts.end(),
+                           [&](PromptPartHash part) {
+                             return evidence_.Accuses(crash, part);
+                           });
       });
 }
 
@@ -46,7 +47,7 @@
     PromptPartHash part) const {
   Accusers crashes;
   for (const auto& [id, crash] : evidence_.crashes()) {
-    if (crash.Accuses(part) && !IsExplained(crash)) {
+    if (evidence_.Accuses(crash, part) && !IsExplained(crash)) {
       crashes.push_back(&crash);
     }
   }
@@ -58,8 +59,8 @@
 std::set<PromptPartHash> PartQuarantine::AccusedParts() const {
   std::set<PromptPartHash> parts;
   for (const auto& [id, crash] : evidence_.crashes()) {
-    for (const auto& [part, cleared] : crash.suspects) {
-      if (!cleared) {
+    for (const PromptPartHash part : crash.suspects) {
+      if (evidence_.Accuses(crash, part)) {
         parts.insert(part);
       }
     }
@@ -143,7 +144,7 @@
   }
   for (const PromptPartHash part : parts) {
     answered_at_[part] = now;
-    evidence_.Clear(part);
+    evidence_.Clear(part, now);
     for (const auto& [id, entry] : list_) {
       if (std::binary_search(entry.parts.begin(), entry.parts.end(), part)) {
         sound_.insert(part);
@@ -217,8 +218,9 @@
     std::map<PromptPartHashes, Accusers> by_subset;
     for (const auto& [id, crash] : evidence_.crashes()) {
       PromptPartHashes subset;
-      std::copy_if(parts.begin(), parts.end(), std::back_inserter(subset),
-                   [&](PromptPartHash part) { return crash.Accuses(part); });
+      std::copy_if(
+          parts.begin(), parts.end(), std::back_inserter(subset),
+          [&](PromptPartHash part) { return evidence_.Accuses(crash, part); });
       if (!subset.empty() && subset.size() < parts.size() &&
           !IsExplained(crash)) {
         by_subset[subset].push_back(&crash);
@@ -306,21 +308,21 @@
   evidence_.Merge(update.crashes, now);
   // The other gateways do not know which answers began here.
   for (const auto& [id, crash] : evidence_.crashes()) {
-    for (const auto& [part, cleared] : crash.suspects) {
+    for (const PromptPartHash part : crash.suspects) {
       const auto answered = answered_at_.find(part);
-      if (!cleared && answered != answered_at_.end() &&
+      if (answered != answered_at_.end() &&
           answered->second > crash.at - kSoundTime) {
-        evidence_.Clear(id, part);
+        evidence_.Clear(part, std::max(answered->second, crash.at));
       }
     }
   }
   replica_digest_ = update.evidence_digest;
   if (is_current && update.list_version != list_version_) {
-    TakeList(update);
+    TakeList(update, now);
   }
 }
 
-void PartQuarantine::TakeList(const QuarantineUpdate& update) {
+void PartQuarantine::TakeList(const QuarantineUpdate& update, MonoTime now) {
   if (update.list_version < list_version_) {
     // The replicas have lost the list; what is in force here is reported anew.
     for (Verdict& verdict : verdicts_) {
@@ -347,7 +349,7 @@
     }
     for (const PromptPartHash part : verdicts_[i].parts) {
       if (!listed_parts.contains(part)) {
-        evidence_.Clear(part);
+        evidence_.Clear(part, now);
       }
     }
     EndVerdict(i);
--- a/camphorsail/quarantine/part_quarantine.h
+++ b/camphorsail/quarantine/part_quarantine.h
@@ -47,9 +47,10 @@
   /// about a part.
   static constexpr absl::Duration kSameMoment = absl::Milliseconds(200);
   /// Age from which a crash counts for a verdict. Longer than the evidence
-  /// takes to all gateways and the answers that clear a suspect back: twice
-  /// two polls and an exchange between replicas.
-  static constexpr absl::Duration kSettleTime = absl::Milliseconds(1500);
+  /// takes to all gateways and the answers that clear a suspect back, which is
+  /// twice two polls and an exchange between replicas, 1.4 s, with some time
+  /// for these answers to begin.
+  static constexpr absl::Duration kSettleTime = absl::Milliseconds(2000);
   /// A part on which an answer began this long before a crash, or later, is not
   /// a suspect of the crash.
   static constexpr absl::Duration kSoundTime = absl::Seconds(10);
@@ -135,7 +136,7 @@
   /// Takes parts that were cleared out of the verdicts.
   void DropSoundParts();
   /// Takes another version of the replicated list.
-  void TakeList(const QuarantineUpdate& update);
+  void TakeList(const QuarantineUpdate& update, MonoTime now);
   void AddVerdict(Verdict verdict);
   void EndVerdict(size_t i);
   /// @return The accused parts.
--- a/camphorsail/quarantine/quarantine_store.cc
+++ b/camphorsail/quarantine/quarantine_store.cc
@@ -9,6 +9,11 @@
 #include "camphorsail/base/msgpack_bytes.h"
 
 namespace camphorsail {
+namespace {
+
+using ReleaseTimes = std::vector<std::pair<QuarantineId, int64_t>>;
+
+}  // namespace
 
 Expected<void> QuarantineStore::Apply(const QuarantineChange& change,
                                       absl::Time now) {
@@ -118,12 +123,14 @@
 }
 
 std::string QuarantineStore::Snapshot() const {
-  return PackBytes(std::make_tuple(version_, Entries(), released_));
+  // Maps are not accepted in MessagePack that is read.
+  const ReleaseTimes released(released_.begin(), released_.end());
+  return PackBytes(std::make_tuple(version_, Entries(), released));
 }
 
 Expected<QuarantineStore> QuarantineStore::Restore(std::string_view bytes) {
-  using Fields = std::tuple<uint64_t, std::vector<QuarantineEntry>,
-                            std::map<QuarantineId, int64_t>>;
+  using Fields =
+      std::tuple<uint64_t, std::vector<QuarantineEntry>, ReleaseTimes>;
   Expected<Fields> fields = UnpackBytes<Fields>(bytes);
   if (!fields) {
     return Fail(ErrorKind::kDataCorrupt,
@@ -135,7 +142,8 @@
     const QuarantineId id = entry.id;
     store.entries_.emplace(id, std::move(entry));
   }
-  store.released_ = std::move(std::get<2>(*fields));
+  store.released_.insert(std::get<2>(*fields).begin(),
+                         std::get<2>(*fields).end());
   return store;
 }
 
--- a/camphorsail/runtime/daemon.cc
+++ b/camphorsail/runtime/daemon.cc
@@ -352,6 +352,7 @@
   parts.directory = &directory_;
   parts.collector = &collector_;
   parts.peers = peers_.get();
+  parts.crash_records = [this] { return gateways_.CrashRecords(); };
   parts.is_ready = [this] { return IsReady(); };
   parts.drain = [this](const VmId& vm) { return RequestDrain(vm); };
   return parts;
--- a/camphorsail/runtime/gateway_daemon.cc
+++ b/camphorsail/runtime/gateway_daemon.cc
@@ -340,9 +340,8 @@
   }
   drain_started_at_ = loop_.now();
   LogEvent("daemon_draining").Add("signal", signal);
-  const absl::Duration admission_time =
-      std::min(options_.drain_delay,
-               options_.drain_timeout * kDrainAdmissionFraction);
+  const absl::Duration admission_time = std::min(
+      options_.drain_delay, options_.drain_timeout * kDrainAdmissionFraction);
   gateway_.BeginDrain(admission_time);
   loop_.RunAt(drain_started_at_ + admission_time, [this] {
     gateway_.StopCallers();
--- a/ctl/command.h
+++ b/ctl/command.h
@@ -23,6 +23,8 @@
   kEngines,
   kEnginesSet,
   kEnginesRemove,
+  kQuarantine,
+  kQuarantineRelease,
   kStatus,
   kRefusedMinutes,
   kTimeline,
@@ -75,6 +77,8 @@
   std::string role;
   /// Load priority of `engines set`; larger values are loaded first.
   int64_t load_priority = 0;
+  /// Id of the entry of `quarantine release`.
+  std::string entry;
   /// VM to drain; empty for the VM that receives the request.
   std::string vm;
 
--- a/ctl/parse_command.cc
+++ b/ctl/parse_command.cc
@@ -385,6 +385,9 @@
         }
       }
       break;
+    case CommandKind::kQuarantineRelease:
+      command->entry = operands[0];
+      break;
     case CommandKind::kDrain:
       command->vm = operands.empty() ? "" : operands[0];
       break;
--- a/ctl/render.cc
+++ b/ctl/render.cc
@@ -176,6 +176,24 @@
                            {"OPEN ORDER", "order"}});
 }
 
+std::string RenderQuarantine(const json& answer) {
+  return absl::StrCat(
+      "version ", FormatMember(answer, "version"),
+      answer.value("current", false) ? "\n" : ", may be out of date\n",
+      RenderRows(ArrayMember(answer, "entries"), {{"ENTRY", "entry"},
+                                                  {"PARTS", "parts"},
+                                                  {"CRASHES", "crashes"},
+                                                  {"SINCE", "since"},
+                                                  {"NEXT TRIAL", "trial_at"},
+                                                  {"TRIALS", "trials"},
+                                                  {"TRIAL AT", "trial_vm"}}),
+      "\nEnds of servers\n",
+      RenderRows(ArrayMember(answer, "crashes"), {{"CRASH", "crash"},
+                                                  {"AGE MS", "age_ms"},
+                                                  {"SUSPECTS", "suspects"},
+                                                  {"CLEARED", "cleared"}}));
+}
+
 }  // namespace
 
 std::string RenderEdits(const json& edits) {
@@ -227,6 +245,12 @@
       return absl::StrCat(
           "accepted for ",
           EscapeControlCharacters(FormatMember(answer, "server")), "\n");
+    case CommandKind::kQuarantine:
+      return RenderQuarantine(answer);
+    case CommandKind::kQuarantineRelease:
+      return absl::StrCat(
+          "released ", EscapeControlCharacters(FormatMember(answer, "entry")),
+          "\n");
     case CommandKind::kStatus:
       return RenderStatus(answer);
     case CommandKind::kTimeline:
--- a/ctl/run_command.cc
+++ b/ctl/run_command.cc
@@ -83,6 +83,12 @@
       case CommandKind::kEnginesRemove:
         RunEngineChange();
         break;
+      case CommandKind::kQuarantine:
+        RunQuery("quarantine", {});
+        break;
+      case CommandKind::kQuarantineRelease:
+        RunQuarantineRelease();
+        break;
       case CommandKind::kStatus:
         RunQuery("status", {});
         break;
@@ -216,6 +222,18 @@
     }
   }
 
+  void RunQuarantineRelease() {
+    const json body = {{"release", command_.entry},
+                       {"operator", command_.operator_name}};
+    json answer;
+    if (ParseAnswer(context_.call({"POST", MakeTarget("quarantine", {}),
+                                   body.dump(-1, ' ', false,
+                                             json::error_handler_t::replace)}),
+                    &answer)) {
+      Print(answer);
+    }
+  }
+
   void RunEngineChange() {
     json body = {{"server", command_.server}};
     if (command_.kind == CommandKind::kEnginesRemove) {
--- a/tests/unit/ctl/parse_command_test.cc
+++ b/tests/unit/ctl/parse_command_test.cc
@@ -53,6 +53,13 @@
   ASSERT_TRUE(unset.command) << unset.errors;
   EXPECT_EQ(unset.command->keys, (std::vector<std::string>{"a", "b"}));
   EXPECT_EQ(Parse({"drain", "vm2"}).command->vm, "vm2");
+  EXPECT_EQ(Parse({"quarantine"}).command->kind, CommandKind::kQuarantine);
+  const ParsedCommand release =
+      Parse({"quarantine", "release", "00ff", "--operator", "ann"});
+  ASSERT_TRUE(release.command) << release.errors;
+  EXPECT_EQ(release.command->kind, CommandKind::kQuarantineRelease);
+  EXPECT_EQ(release.command->entry, "00ff");
+  EXPECT_EQ(release.command->operator_name, "ann");
 }
 
 // Guards against two changes with the same id: the second would be treated as
--- a/tests/unit/explain/request_cause_test.cc
+++ b/tests/unit/explain/request_cause_test.cc
@@ -68,6 +68,23 @@
               "server_leaving", "the server was leaving", "server_leaving");
 }
 
+// Incident BUDGET: requests that end servers were refused or failed, and
+// nothing named the part of the prompt.
+TEST(RequestCauseTest, PartsThatEndServers) {
+  ExpectCause(
+      {At(1, "g1", "parts_quarantined entry=e1 part_hashes=p crashes=3"),
+       At(9, "g1",
+          "request_refused request=r1 route=a age_ms=0 parts=a,b "
+          "crashes=3 entry=e1 code=prompt_part_quarantined")},
+      "prompt_part_quarantined", "entry e1", "parts_quarantined");
+  ExpectCause({At(1, "g1", "server_ended server=s1 incarnation=1 load=3"),
+               At(9, "g1",
+                  "request_refused request=r1 route=a age_ms=0 parts=a,b "
+                  "crashes=2 part_hashes=p code=prompt_part_suspected "
+                  "reason=wait")},
+              "prompt_part_suspected", "part p", "server_ended");
+}
+
 TEST(RequestCauseTest, ServerThatWasLost) {
   ExpectCause({At(20, "g1", kStarted),
                At(30, "g1",
--- a/tests/unit/gateway/gateway_test.cc
+++ b/tests/unit/gateway/gateway_test.cc
@@ -289,8 +289,8 @@
          "\r\n\r\n";
 }
 
-// New on the users' pages: a stream may have neither a length nor chunks. Guards
-// against one that ends inside an event, because its server ended, being
+// New on the users' pages: a stream may have neither a length nor chunks.
+// Guards against one that ends inside an event, because its server ended, being
 // forwarded as complete.
 TEST_F(GatewayTest, StreamWithoutLengthThatEndsInsideAnEventIsAborted) {
   RawSocket caller = Call("/once/x");
@@ -403,7 +403,8 @@
 }
 
 // Reported by other operators: at the end of a planned stop, requests that had
-// been passed on were cut without an answer, also ones that may not be repeated.
+// been passed on were cut without an answer, also ones that may not be
+// repeated.
 TEST_F(GatewayTest, EndOfADrainAnswersWhatIsInProgress) {
   RawSocket call = Call("/unsafe/x");
   ASSERT_NE(NextAttempt(), nullptr);
--- a/tests/unit/gateway_quarantine/gateway_quarantine_test.cc
+++ b/tests/unit/gateway_quarantine/gateway_quarantine_test.cc
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr char kBadPart[] = "bad";
+constexpr absl::Duration kReadTime = absl::Milliseconds(20);
 constexpr absl::Duration kRestartTime = absl::Milliseconds(400);
 constexpr absl::Duration kArrivalInterval = absl::Milliseconds(100);
 
@@ -30,6 +31,8 @@
     std::vector<size_t> answered;
     uint64_t incarnation = 0;
     MonoTime back_at;
+    /// When the engine has read the prompt on which it ends.
+    MonoTime reads_until = MonoTime::Infinite();
   };
   struct Caller {
     RawSocket socket;
@@ -78,6 +81,7 @@
     Engine& engine = engines_[i];
     engine.server = std::make_unique<FakeServer>();
     engine.answered.clear();
+    engine.reads_until = MonoTime::Infinite();
     ServerAnnouncement announcement;
     announcement.server = BackendServerId(absl::StrCat("e", i));
     announcement.version = {Incarnation(++engine.incarnation),
@@ -112,7 +116,12 @@
         continue;
       }
       engine.answered.resize(engine.server->connection_count(), 0);
-      if (engine.server->Count(kBadPart) > 0) {
+      if (engine.server->Count(kBadPart) == 0) {
+        engine.reads_until = MonoTime::Infinite();
+      } else if (engine.reads_until == MonoTime::Infinite()) {
+        engine.reads_until = driver_.loop.now() + kReadTime;
+      }
+      if (driver_.loop.now() >= engine.reads_until) {
         engine.server->Crash();
         engine.server = nullptr;
         engine.back_at = driver_.loop.now() + kRestartTime;
--- a/tests/unit/platform/document_fuzz_test.cc
+++ b/tests/unit/platform/document_fuzz_test.cc
@@ -141,7 +141,8 @@
   EXPECT_TRUE(rc::check([] {
     const auto [body, name] = Mutate(kSampleRegistration);
     for (const std::string& text : {body, CorruptBytes(kSampleRegistration)}) {
-      const Expected<ServerAnnouncement> read = ParseRegistration("i-1", text, absl::InfiniteFuture());
+      const Expected<ServerAnnouncement> read =
+          ParseRegistration("i-1", text, absl::InfiniteFuture());
       if (read) {
         RC_ASSERT(read->description.capacity >= 1);
         RC_ASSERT(!read->description.address.empty());
