Process test: a harmful part is kept from the servers by all gateways, and after restarts

Stand-in servers end on a part and come back as another incarnation. Two gateways and three control VMs as processes: at most five ends, then 503 (not run) at both gateways; the same after a restart of a gateway and of all control VMs, and until an operator releases the entry. Answers of plain services with prompt parts clear these parts too. A loop variable is no longer captured as a structured binding, which clang rejects.

--- a/camphorsail/gateway/gateway_quarantine.cc
+++ b/camphorsail/gateway/gateway_quarantine.cc
@@ -145,7 +145,7 @@
 
 void Gateway::RecordSettled(Exchange* exchange) {
   if (std::exchange(exchange->attempt->has_settled, true) ||
-      !exchange->service->is_engine) {
+      (!exchange->service->is_engine && exchange->shared_parts.empty())) {
     return;
   }
   quarantine_.OnAnswerBegun(exchange->shared_parts, loop_->now());
@@ -164,14 +164,16 @@
     telemetry_.OnVerdict(verdict, /*in_force=*/true);
   }
   std::vector<Exchange*> ended;
-  for (const auto& [caller, exchange] : exchanges_) {
-    const bool is_quarantined = std::any_of(
-        verdicts.begin(), verdicts.end(), [&](const PartVerdict& verdict) {
-          return ContainsAll(exchange->shared_parts, verdict.parts);
-        });
+  for (const auto& [caller, owned] : exchanges_) {
+    Exchange* exchange = owned.get();
+    const bool is_quarantined =
+        std::any_of(verdicts.begin(), verdicts.end(),
+                    [exchange](const PartVerdict& verdict) {
+                      return ContainsAll(exchange->shared_parts, verdict.parts);
+                    });
     if (is_quarantined && exchange->attempt.has_value() &&
         !exchange->attempt->has_answer && !exchange->is_held) {
-      ended.push_back(exchange.get());
+      ended.push_back(exchange);
     }
   }
   for (Exchange* exchange : ended) {
--- a/tests/process/gateway_fleet.py
+++ b/tests/process/gateway_fleet.py
@@ -1,5 +1,6 @@
 """Starts control VMs, gateways and stand-in backend servers on loopback addresses, for tests of the deployed path."""
 
+import contextlib
 import http.client
 import http.server
 import json
@@ -29,11 +30,14 @@
 class FakeServer:
     """A backend server that keeps the ids of the requests that it has run. Streams have `EVENTS` events.
 
+    A request with `HARMFUL_PART` in its prompt ends the server before it answers; it starts again after `RESTART_S`.
     `says_leaving` adds to each answer that the server leaves. Until `full_until` each request is turned away, with the
     time that is left as the pause that the server asks for.
     """
 
     EVENTS = 12
+    HARMFUL_PART = "bad"
+    RESTART_S = 0.6
 
     def __init__(self, name, service, fleet):
         self.name = name
@@ -43,6 +47,8 @@
         # Request id, time, and what the answer says: "leaving", the length of a pause in seconds, or None.
         self.arrivals = []
         self.says_leaving = False
+        self.ends = 0
+        self.connections = set()
         self.full_until = 0.0
         self.lock = threading.Lock()
         self.sequence = 0
@@ -54,6 +60,16 @@
         class Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
+            def setup(self):
+                super().setup()
+                with owner.lock:
+                    owner.connections.add(self.connection)
+
+            def finish(self):
+                with owner.lock:
+                    owner.connections.discard(self.connection)
+                super().finish()
+
             def log_message(self, *_):
                 pass
 
@@ -68,7 +84,8 @@
             def handle_error(self, *_):
                 pass
 
-        self.http = Server(("127.0.0.1", 0), Handler)
+        self.make_http = lambda port: Server(("127.0.0.1", port), Handler)
+        self.http = self.make_http(0)
         self.port = self.http.server_address[1]
         # A proxy in front of the server, when the test uses one.
         self.public_port = self.port
@@ -84,6 +101,11 @@
             request.send_header("Content-Length", "0")
             request.end_headers()
             return
+        if f"{self.HARMFUL_PART}:" in request.headers.get("Prompt-Prefix", ""):
+            # Longer than the gateway takes for servers that end together for another reason.
+            time.sleep(0.02)
+            self.crash()
+            return
         first = int(request.headers.get("Last-Event-Id") or -1) + 1
         now = time.monotonic()
         pause = max(0.0, self.full_until - now)
@@ -130,6 +152,27 @@
         while not self.stopped.wait(0.5):
             self.heartbeat()
 
+    def crash(self):
+        """Stops listening, ends all connections, and starts again later as another incarnation."""
+        # Closing alone would leave it listening until the thread that accepts wakes up.
+        self.http.socket.shutdown(socket.SHUT_RDWR)
+        self.http.socket.close()
+        with self.lock:
+            self.ends += 1
+            for connection in self.connections:
+                with contextlib.suppress(OSError):
+                    connection.shutdown(socket.SHUT_RDWR)
+
+        def restart():
+            time.sleep(self.RESTART_S)
+            if self.stopped.is_set():
+                return
+            self.http = self.make_http(self.port)
+            threading.Thread(target=self.http.serve_forever, daemon=True).start()
+            self.start_again()
+
+        threading.Thread(target=restart, daemon=True).start()
+
     def start_again(self):
         """Another start of the server under its id."""
         self.says_leaving = False
@@ -139,7 +182,6 @@
 
     def stop(self):
         self.stopped.set()
-        self.http.shutdown()
         self.http.server_close()
 
 
@@ -269,12 +311,15 @@
         finally:
             connection.close()
 
-    def request(self, gateway, path, request_id, key="k1", body="x", timeout=6):
+    def request(self, gateway, path, request_id, key="k1", body="x", timeout=6, prompt=None):
         """@return Status, text and whether the answer is whole; status 0 without an answer."""
         connection = http.client.HTTPConnection(self.gateway_ip(gateway), CALLER_PORT, timeout=timeout)
         try:
-            connection.request("POST", path, body, {"Host": HOST, "Request-Id": request_id, "Credential": key,
-                                                    "Request-Deadline": str(int(timeout * 1000))})
+            headers = {"Host": HOST, "Request-Id": request_id, "Credential": key,
+                       "Request-Deadline": str(int(timeout * 1000))}
+            if prompt is not None:
+                headers["Prompt-Prefix"] = prompt
+            connection.request("POST", path, body, headers)
             response = connection.getresponse()
             text = b""
             try:
--- a/tests/process/gateway_path_test.py
+++ b/tests/process/gateway_path_test.py
@@ -188,6 +188,58 @@
         self.fleet.kill("gateway1", signal.SIGTERM)
         self.assertEqual(self.fleet.wait("gateway1"), 0)
 
+    def ends(self):
+        return sum(server.ends for server in self.fleet.servers)
+
+    def send_prompt(self, gateway, part, n):
+        """@return Status and text of the answer to a prompt with a part."""
+        return self.fleet.request(gateway, "/safe/x", f"{part}{n}-g{gateway}", prompt=f"f:9,{part}:9,own{n}:9")[:2]
+
+    def ctl(self, *words):
+        command = [os.path.join(BINARIES, "camphorsailctl"), "--admin", f"http://{self.fleet.control_ip(1)}:19355",
+                   "--secret-file", os.path.join(self.fleet.folder, "admin.secret"), *words]
+        return subprocess.run(command, capture_output=True, text=True, check=False).stdout
+
+    def assert_quarantined(self, gateway, n):
+        status, text = self.send_prompt(gateway, "bad", n)
+        self.assertEqual((status, json.loads(text)["error"]["code"], json.loads(text)["error"]["request_was_run"]),
+                         (503, "prompt_part_quarantined", "no"))
+
+    def test_part_that_ends_servers_is_kept_from_them_by_all(self):
+        for i in (3, 4, 5):
+            self.fleet.add_server(f"s{i}", "svc")
+        time.sleep(1)
+        served = 0
+        for n in range(90):
+            for gateway in (1, 2):
+                served += self.send_prompt(gateway, "ok", n)[0] == 200
+            if n % 10 == 0:
+                self.send_prompt(1 + n // 10 % 2, "bad", n)
+            time.sleep(0.05)
+        self.assertLessEqual(self.ends(), 5)
+        self.assertGreaterEqual(served, 160)
+        ends = self.ends()
+        for gateway in (1, 2):
+            self.assert_quarantined(gateway, 900)
+        # A gateway that starts anew, and replicas that do, know of it.
+        wait_until("the list has the entry", lambda: '"entries": []' not in self.ctl("quarantine", "--json"))
+        self.fleet.kill("gateway1")
+        self.fleet.wait("gateway1")
+        for i in (1, 2, 3):
+            self.fleet.kill(f"control{i}")
+            self.fleet.wait(f"control{i}")
+        for i in (1, 2, 3):
+            self.fleet.start_control(i, found_group=False)
+        self.fleet.start_gateway(1)
+        wait_until("the gateway serves", lambda: self.send_prompt(1, "ok", 901)[0] == 200)
+        self.assert_quarantined(1, 902)
+        self.assertEqual(self.ends(), ends)
+        # An operator ends it.
+        entry = re.search(r'"entry": "([0-9a-f]{16})"', self.ctl("quarantine", "--json")).group(1)
+        self.assertIn(f"released {entry}", self.ctl("quarantine", "release", entry))
+        wait_until("the release is in force", lambda: self.send_prompt(1, "bad", 903)[0] != 503)
+        self.assertGreater(self.ends(), ends)
+
     def test_request_is_explained_from_the_logs(self):
         self.assertEqual(self.fleet.request(1, "/safe/x", "good")[0], 200)
         self.assertEqual(self.fleet.request(1, "/safe/x", "stranger", key="other")[0], 401)
