--- a/tests/unit/gateway_quarantine/gateway_quarantine_test.cc
+++ b/tests/unit/gateway_quarantine/gateway_quarantine_test.cc
@@ -193,5 +193,44 @@
   EXPECT_GE(CountAnswers(false, "data: a\n\n"), 2 * kRounds - 10);
 }
 
+// The refusal is true, and does not ask the caller to come back.
+TEST_F(GatewayQuarantineTest, QuarantinedRequestsAreRefusedAsNotRun) {
+  QuarantineUpdate update;
+  update.list_version = 1;
+  QuarantineEntry entry;
+  entry.parts =
+      SharedPartHashes("", {{kBadPart, Tokens(1)}, {"own", Tokens(1)}});
+  entry.id = QuarantineIdOf(entry.parts);
+  update.entries = {entry};
+  gateway_.OnQuarantineUpdate(update, /*is_current=*/true);
+  Send(absl::StrCat("first,", kBadPart));
+  RunFor(absl::Milliseconds(100));
+  RawSocket& caller = callers_.back().socket;
+  EXPECT_TRUE(caller.Has("HTTP/1.1 503"));
+  EXPECT_TRUE(caller.Has("\"prompt_part_quarantined\""));
+  EXPECT_TRUE(caller.Has("\"request_was_run\":\"no\""));
+  EXPECT_FALSE(caller.Has("Retry-After"));
+  EXPECT_EQ(crashes_, 0);
+}
+
+// Guards against a request that ends servers being cancelled too late: it waits
+// at a server when the verdict comes.
+TEST_F(GatewayQuarantineTest, VerdictEndsAttemptsThatHaveNotBegun) {
+  Send(absl::StrCat("first,", kBadPart));
+  driver_.RunFor(kReadTime / 2);
+  QuarantineUpdate update;
+  update.list_version = 1;
+  QuarantineEntry entry;
+  entry.parts =
+      SharedPartHashes("", {{kBadPart, Tokens(1)}, {"own", Tokens(1)}});
+  entry.id = QuarantineIdOf(entry.parts);
+  update.entries = {entry};
+  gateway_.OnQuarantineUpdate(update, /*is_current=*/true);
+  driver_.RunFor(kReadTime / 2);
+  EXPECT_TRUE(callers_.back().socket.Has("HTTP/1.1 502"));
+  EXPECT_TRUE(callers_.back().socket.Has("\"request_was_run\":\"unknown\""));
+  EXPECT_TRUE(gateway_.IsIdle());
+}
+
 }  // namespace
 }  // namespace camphorsail
--- a/tests/unit/runtime/gateway_sessions_test.cc
+++ b/tests/unit/runtime/gateway_sessions_test.cc
@@ -151,5 +151,97 @@
   EXPECT_EQ(sent_[0].loads[0].in_flight, 2U);
 }
 
+/// Sessions of two replicas, one gateway each.
+class QuarantineSessionsTest : public GatewayLoadsTest {
+ protected:
+  QuarantineSessionsTest()
+      : other_({.when_current = [](const auto&) {},
+                .send = [](const VmId&, const GatewayUpdate&) {},
+                .now = [this] { return now_; }}) {}
+
+  void PollWith(GatewaySessions* sessions,
+                const std::string& gateway,
+                const QuarantineReport& report) {
+    GatewayPoll poll;
+    poll.token = kProcess + ++token_;
+    poll.quarantine = report;
+    sessions->OnPoll(VmId(gateway), poll);
+  }
+  static QuarantineReport ReportOfACrash() {
+    QuarantineReport report;
+    report.evidence_digest = 5;
+    report.crashes = {{CrashId(1), 40, false, {{PromptPartHash(7), false}}}};
+    return report;
+  }
+
+  GatewaySessions other_;
+};
+
+// Incident BUDGET: no gateway knew what the others had seen.
+TEST_F(QuarantineSessionsTest, EvidenceReachesTheGatewaysOfAnotherReplica) {
+  PollWith(&other_, "b", ReportOfACrash());
+  // The replicas find that they know different things, and send all of it.
+  sessions_.OnGroupLoad(VmId("r2"), other_.GroupLoad());
+  other_.OnGroupLoad(VmId("r"), sessions_.GroupLoad());
+  sessions_.OnGroupLoad(VmId("r2"), other_.GroupLoad());
+  PollWith(&sessions_, "a", QuarantineReport());
+  CompleteRead();
+  ASSERT_EQ(sent_.size(), 1U);
+  ASSERT_EQ(sent_[0].quarantine.crashes.size(), 1U);
+  EXPECT_EQ(sent_[0].quarantine.crashes[0].crash, CrashId(1));
+  EXPECT_EQ(sessions_.CrashRecords().size(), 1U);
+}
+
+// Guards against messages that carry the evidence with each poll.
+TEST_F(QuarantineSessionsTest, EvidenceIsNotSentToThoseThatHaveIt) {
+  PollWith(&sessions_, "a", ReportOfACrash());
+  CompleteRead();
+  QuarantineReport report;
+  report.evidence_digest = sent_.back().quarantine.evidence_digest;
+  PollWith(&sessions_, "a", report);
+  CompleteRead();
+  EXPECT_TRUE(sent_.back().quarantine.crashes.empty());
+  EXPECT_TRUE(sessions_.GroupLoad().quarantine.crashes.empty());
+}
+
+TEST_F(QuarantineSessionsTest, WhatGatewaysAskForIsProposedOnce) {
+  QuarantineReport report;
+  report.verdicts = {{{PromptPartHash(7)}, 3}};
+  report.sound = {PromptPartHash(9)};
+  PollWith(&other_, "b", report);
+  sessions_.OnGroupLoad(VmId("r2"), other_.GroupLoad());
+  const QuarantineStore list;
+  const std::vector<QuarantineChange> changes =
+      sessions_.QuarantineChanges(list, absl::UnixEpoch());
+  ASSERT_EQ(changes.size(), 2U);
+  EXPECT_EQ(changes[0].action, static_cast<uint8_t>(QuarantineAction::kAdd));
+  EXPECT_EQ(changes[0].parts, PromptPartHashes{PromptPartHash(7)});
+  EXPECT_EQ(changes[1].action,
+            static_cast<uint8_t>(QuarantineAction::kRelease));
+  EXPECT_TRUE(sessions_.QuarantineChanges(list, absl::UnixEpoch()).empty());
+}
+
+// Guards against a trial at each gateway, or before its time.
+TEST_F(QuarantineSessionsTest, ATrialIsProposedWhenItIsDue) {
+  QuarantineStore list;
+  QuarantineChange add;
+  add.action = static_cast<uint8_t>(QuarantineAction::kAdd);
+  add.parts = {PromptPartHash(7)};
+  ASSERT_TRUE(list.Apply(add, absl::UnixEpoch()));
+  QuarantineReport report;
+  report.trials = {{QuarantineIdOf(add.parts), VmId("a"), 4}};
+  PollWith(&sessions_, "a", report);
+  report.trials[0].gateway = VmId("b");
+  PollWith(&sessions_, "b", report);
+  const absl::Time due = absl::UnixEpoch() + QuarantineStore::kFirstTrialAfter;
+  EXPECT_TRUE(
+      sessions_.QuarantineChanges(list, due - absl::Seconds(1)).empty());
+  const std::vector<QuarantineChange> changes =
+      sessions_.QuarantineChanges(list, due);
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(changes[0].action, static_cast<uint8_t>(QuarantineAction::kTrial));
+  EXPECT_EQ(changes[0].gateway, VmId("a"));
+}
+
 }  // namespace
 }  // namespace camphorsail
