--- a/camphorsail/quarantine/part_quarantine.cc
+++ b/camphorsail/quarantine/part_quarantine.cc
@@ -216,7 +216,8 @@
   for (size_t i = 0; i < verdicts_.size(); ++i) {
     const PromptPartHashes& parts = verdicts_[i].parts;
     std::map<PromptPartHashes, Accusers> by_subset;
-    for (const auto& [id, crash] : evidence_.crashes()) {
+    for (const auto& item : evidence_.crashes()) {
+      const CrashEvidence::Crash& crash = item.second;
       PromptPartHashes subset;
       std::copy_if(
           parts.begin(), parts.end(), std::back_inserter(subset),
@@ -354,7 +355,8 @@
     }
     EndVerdict(i);
   }
-  for (const auto& [id, entry] : list) {
+  for (const auto& item : list) {
+    const QuarantineEntry& entry = item.second;
     const auto known = std::find_if(
         verdicts_.begin(), verdicts_.end(),
         [&](const Verdict& verdict) { return verdict.parts == entry.parts; });
