--- a/camphorsail/quarantine/part_quarantine.cc
+++ b/camphorsail/quarantine/part_quarantine.cc
@@ -1,7 +1,6 @@
 #include "camphorsail/quarantine/part_quarantine.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace camphorsail {
 namespace {
@@ -245,7 +244,6 @@
 }
 
 bool PartQuarantine::ReachVerdict(MonoTime now) {
-  std::map<PromptPartHashes, PromptPartHashes> parts_by_crashes;
   Verdict best;
   Accusers best_accusers;
   for (const PromptPartHash part : AccusedParts()) {
