Review: lines without end in an answer hold up a gateway (CONFIG)

Cause: the end of an event is looked for from the beginning of all that is held, with each piece that arrives.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
