--- a/review/4/case.py
+++ b/review/4/case.py
@@ -74,7 +74,7 @@
                 try:
                     if not connection.recv(1):
                         return
-                except TimeoutError:
+                except socket.timeout:
                     pass
                 connection.settimeout(None)
             connection.sendall(f"HTTP/1.1 200 OK\r\nRequest-Id: {headers['request-id']}\r\nResponse-Signature: 3e1b\r\n"
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -14,7 +14,6 @@
 import tempfile
 import threading
 import time
-import tomllib
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 HOST = "ficu95.example"
@@ -80,12 +79,21 @@
     return re.sub(r"\{\{([A-Za-z0-9_.]+)\}\}", value, template)
 
 
-class Deployment:
-    CONTROLS = 3
+def read_roles():
+    """@return The roles of the deploy file, each with its texts."""
+    roles, role = {}, None
+    with open(os.path.join(ROOT, "deploy/system.toml"), encoding="utf-8") as file:
+        for line in file:
+            if match := re.match(r"\[roles\.(\w+)\]", line):
+                role = roles.setdefault(match.group(1), {})
+            elif role is not None and (match := re.match(r'(\w+) = "([^"]*)"', line)):
+                role[match.group(1)] = match.group(2)
+    return roles
+
 
+class Deployment:
     def __init__(self, record, gateways=1, front_limits=None):
-        with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
-            self.roles = tomllib.load(file)["roles"]
+        self.roles = read_roles()
         self.record = record
         self.front_limits = {**FRONT_LIMITS, **(front_limits or {})}
         self.gateways = gateways
