--- a/camphorsail/gateway/backend_connection.cc
+++ b/camphorsail/gateway/backend_connection.cc
@@ -23,6 +23,9 @@
 /// Reads after which the event loop turns to other connections. A server that
 /// sends faster than the gateway reads would otherwise occupy it.
 constexpr int kMaxReadsPerEvent = 8;
+/// Error of a write to a server that had closed its side of the connection
+/// before it reset the other one, so that all that it sent has arrived.
+constexpr int kErrorAfterClose = EPIPE;
 /// Interim (1xx) answers that one request may get.
 constexpr int kMaxInterimAnswers = 16;
 
@@ -148,6 +151,7 @@
   handlers_ = std::move(handlers);
   output_ = std::move(request);
   output_offset_ = 0;
+  write_error_ = 0;
   sent_ = false;
   is_head_ = is_head;
   paused_ = false;
@@ -207,6 +211,7 @@
     // was reset. It is read before the failure is reported.
     sent_ = true;
     if (size < 0) {
+      write_error_ = errno;
       output_offset_ = output_.size();
       Read();
       return;
@@ -239,6 +244,12 @@
       return;
     }
     if (size == 0) {
+      // The socket reports the error of a reset only once, and a failed write
+      // may have taken it. The end that is read then is not the server's.
+      if (write_error_ != 0 && write_error_ != kErrorAfterClose) {
+        Fail(BackendFailure::kBroken);
+        return;
+      }
       // End of the connection. This completes an answer without a length; any
       // other answer is truncated.
       http_parser_execute(&parser_, &ParserSettings(), nullptr, 0);
--- a/camphorsail/gateway/backend_connection.h
+++ b/camphorsail/gateway/backend_connection.h
@@ -86,6 +86,8 @@
   BackendHandlers handlers_;
   std::string output_;
   size_t output_offset_ = 0;
+  /// Error number of the write that failed; 0 when none has.
+  int write_error_ = 0;
   /// At least a part of the request may have reached the server.
   bool sent_ = false;
   bool is_head_ = false;
--- a/tests/unit/gateway/backend_connection_test.cc
+++ b/tests/unit/gateway/backend_connection_test.cc
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "absl/strings/str_cat.h"
 #include "camphorsail/gateway/backend_connection_pool.h"
 #include "gtest/gtest.h"
 #include "tests/fakes/gateway/fake_server.h"
@@ -49,6 +50,15 @@
         ->Start("POST /" + name + " HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
                 false, HandlersOf(outcome));
   }
+  /// Sends a request that does not fit into the buffers of the sockets.
+  void SendLarge(Outcome* outcome) {
+    constexpr size_t kBodyBytes = 64 << 20;
+    pool_.Take({"127.0.0.1", server_.port()})
+        ->Start(
+            absl::StrCat("POST /large HTTP/1.1\r\nContent-Length: ", kBodyBytes,
+                         "\r\n\r\n", std::string(kBodyBytes, 'b')),
+            false, HandlersOf(outcome));
+  }
   bool WaitForRequest(const std::string& name) {
     return driver_.RunUntil([&] { return server_.Count("/" + name) > 0; });
   }
@@ -155,6 +165,37 @@
   EXPECT_TRUE(reset.failed);
 }
 
+// Guards against an answer without a length that is taken for whole although it
+// was reset: the write of the rest of the request takes the error from the
+// socket, and the next read reports an end.
+TEST_F(BackendConnectionTest, ResetWhileTheRequestIsWrittenTruncatesTheAnswer) {
+  const std::string part(60'000, 'p');
+  for (const bool is_reset : {true, false}) {
+    Outcome outcome;
+    const size_t before = server_.connection_count();
+    SendLarge(&outcome);
+    ASSERT_TRUE(driver_.RunUntil([&] {
+      return server_.connection_count() > before &&
+             server_.connection(before).Has("/large");
+    }));
+    RawSocket& connection = server_.connection(before);
+    connection.Write("HTTP/1.1 200 OK\r\n\r\n" + part);
+    if (is_reset) {
+      connection.Reset();
+    } else {
+      // The rest of the request meets a closed socket, which resets the
+      // connection behind a complete answer.
+      connection.ShutdownWrite();
+      driver_.RunFor(absl::Milliseconds(5));
+      connection.Close();
+    }
+    ASSERT_TRUE(WaitFor(outcome));
+    EXPECT_EQ(outcome.ended, !is_reset);
+    EXPECT_EQ(outcome.failed, is_reset);
+    EXPECT_EQ(outcome.body, part);
+  }
+}
+
 TEST_F(BackendConnectionTest, TruncatedAnswersFail) {
   for (const char* answer :
        {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
