Event loop: metrics and a log line say what kept it, and for how long

No figure said how long one callback takes or how late a timer is.

`callback_slow` names the source of each callback of 50 ms or longer; a histogram has those from 1 ms, and two gauges hold the longest callback of each source and the largest delay of a timer since the metrics were last read.

--- a/camphorsail/gateway/backend_connection.cc
+++ b/camphorsail/gateway/backend_connection.cc
@@ -67,8 +67,9 @@
   fd_ = *fd;
   EnableKeepalive(fd_, kPeerFailureTimeout);
   watched_events_ = EPOLLIN | EPOLLOUT | EPOLLRDHUP;
-  watch_ = loop_->Watch(fd_, watched_events_,
-                        [this](uint32_t events) { OnEvents(events); });
+  watch_ = loop_->Watch(
+      fd_, watched_events_, [this](uint32_t events) { OnEvents(events); },
+      LoopSource::kBackend);
   connect_timer_ = loop_->RunAt(loop_->now() + connect_timeout, [this] {
     Fail(BackendFailure::kNotConnected);
   });
--- a/camphorsail/gateway/caller_connection.cc
+++ b/camphorsail/gateway/caller_connection.cc
@@ -60,8 +60,9 @@
   parser_.data = this;
   EnableKeepalive(fd_, kPeerFailureTimeout);
   watched_events_ = EPOLLIN | EPOLLRDHUP;
-  watch_ = loop_->Watch(fd_, watched_events_,
-                        [this](uint32_t events) { OnEvents(events); });
+  watch_ = loop_->Watch(
+      fd_, watched_events_, [this](uint32_t events) { OnEvents(events); },
+      LoopSource::kCaller);
 }
 
 CallerConnection::~CallerConnection() {
--- a/camphorsail/gateway/caller_listener.cc
+++ b/camphorsail/gateway/caller_listener.cc
@@ -56,7 +56,8 @@
       loop_->Post([released] {});
     }
   };
-  watch_ = loop_->Watch(fd_, EPOLLIN, [this](uint32_t) { Accept(); });
+  watch_ = loop_->Watch(
+      fd_, EPOLLIN, [this](uint32_t) { Accept(); }, LoopSource::kListener);
   sweep_timer_ =
       loop_->RunAt(loop_->now() + kSweepInterval, [this] { Sweep(); });
 }
--- a/camphorsail/gateway/connect_check.cc
+++ b/camphorsail/gateway/connect_check.cc
@@ -26,7 +26,8 @@
     return;
   }
   fd_ = *fd;
-  watch_ = loop_->Watch(fd_, EPOLLOUT, [this](uint32_t) { OnConnected(); });
+  watch_ = loop_->Watch(
+      fd_, EPOLLOUT, [this](uint32_t) { OnConnected(); }, LoopSource::kBackend);
   timer_ = loop_->RunAt(loop_->now() + timeout,
                         [this] { Finish(Result::kUnknown); });
 }
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -54,6 +54,7 @@
       metrics_(metrics),
       telemetry_(metrics),
       gauges_(metrics),
+      loop_telemetry_(metrics, loop),
       pool_(settings.pool, loop),
       placement_(settings.placement, settings.seed),
       answers_(settings.answers),
@@ -218,6 +219,7 @@
   state.quarantined = quarantine_.verdicts();
   state.suspected_parts = quarantine_.suspects();
   gauges_.Update(state, now);
+  loop_telemetry_.Update();
   return metrics_->Render();
 }
 
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "camphorsail/gateway/gateway_gauges.h"
 #include "camphorsail/gateway/gateway_settings.h"
 #include "camphorsail/gateway/gateway_telemetry.h"
+#include "camphorsail/gateway/loop_telemetry.h"
 #include "camphorsail/gateway/refusal_outbox.h"
 #include "camphorsail/gateway/wire_dialect.h"
 #include "camphorsail/net/event_loop.h"
@@ -263,6 +264,7 @@
   Metrics* const metrics_;
   GatewayTelemetry telemetry_;
   GatewayGauges gauges_;
+  LoopTelemetry loop_telemetry_;
   BackendConnectionPool pool_;
   BackendFleet fleet_;
   Placement placement_;
--- a/camphorsail/net/event_loop.cc
+++ b/camphorsail/net/event_loop.cc
@@ -29,14 +29,28 @@
   close(epoll_fd_);
 }
 
-EventLoop::WatchId EventLoop::Watch(int fd, uint32_t events, Handler handler) {
+template <typename Callback>
+bool EventLoop::RunCallback(LoopSource source, const Callback& callback) {
+  if (!observer_.on_callback) {
+    return GuardedCall("event_loop", callback);
+  }
+  const MonoTime start = MonotonicNow();
+  const bool succeeded = GuardedCall("event_loop", callback);
+  observer_.on_callback(source, MonotonicNow() - start);
+  return succeeded;
+}
+
+EventLoop::WatchId EventLoop::Watch(int fd,
+                                    uint32_t events,
+                                    Handler handler,
+                                    LoopSource source) {
   const WatchId id = next_watch_++;
   epoll_event event = {};
   event.events = events;
   event.data.u64 = id;
   epoll_ctl(epoll_fd_, EPOLL_CTL_ADD, fd, &event);
   watches_[id] = std::make_unique<WatchedDescriptor>(
-      WatchedDescriptor{fd, std::move(handler)});
+      WatchedDescriptor{fd, std::move(handler), source});
   return id;
 }
 
@@ -107,7 +121,8 @@
     if (found != watches_.end()) {
       // A copy, because the handler may remove its own watch.
       const Handler handler = found->second->handler;
-      if (!GuardedCall("event_loop", [&] { handler(events[i].events); })) {
+      if (!RunCallback(found->second->source,
+                       [&] { handler(events[i].events); })) {
         // The same event would fail again at once. The owner of the descriptor
         // ends it by its own time limit.
         Unwatch(events[i].data.u64);
@@ -120,8 +135,11 @@
 void EventLoop::RunTimers() {
   while (!timers_.empty() && timers_.begin()->first.first <= now_) {
     const Task task = std::move(timers_.begin()->second);
+    if (observer_.on_timer) {
+      observer_.on_timer(MonotonicNow() - timers_.begin()->first.first);
+    }
     timers_.erase(timers_.begin());
-    GuardedCall("event_loop", task);
+    RunCallback(LoopSource::kTimer, task);
   }
 }
 
@@ -132,7 +150,7 @@
     tasks.swap(tasks_);
   }
   for (const Task& task : tasks) {
-    GuardedCall("event_loop", task);
+    RunCallback(LoopSource::kTask, task);
   }
 }
 
--- a/camphorsail/net/event_loop.h
+++ b/camphorsail/net/event_loop.h
@@ -14,6 +14,7 @@
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
 #include "camphorsail/base/mono_time.h"
+#include "camphorsail/net/loop_observer.h"
 #include "camphorsail/net/waker.h"
 
 namespace camphorsail {
@@ -35,9 +36,16 @@
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
 
+  /// @param observer Is told about each callback from now on.
+  void SetObserver(LoopObserver observer) { observer_ = std::move(observer); }
+
   /// Watches a descriptor until `Unwatch`, which must be called before the
   /// descriptor is closed.
-  WatchId Watch(int fd, uint32_t events, Handler handler);
+  /// @param source What the descriptor belongs to, for the observer.
+  WatchId Watch(int fd,
+                uint32_t events,
+                Handler handler,
+                LoopSource source = LoopSource::kOther);
   /// Replaces the events of a watch.
   void ChangeEvents(WatchId id, uint32_t events);
   void Unwatch(WatchId id);
@@ -64,12 +72,18 @@
   struct WatchedDescriptor {
     int fd = -1;
     Handler handler;
+    LoopSource source = LoopSource::kOther;
   };
 
+  /// Runs a callback and tells the observer how long it took.
+  /// @return False when it ended with an exception.
+  template <typename Callback>
+  bool RunCallback(LoopSource source, const Callback& callback);
   void RunTimers();
   void RunTasks();
 
   int epoll_fd_;
+  LoopObserver observer_;
   Waker waker_;
   MonoTime now_;
   WatchId next_watch_ = 1;
--- a/camphorsail/process/log_schema.h
+++ b/camphorsail/process/log_schema.h
@@ -32,6 +32,9 @@
     {"log_lines_dropped", LogVolume::kEveryLine,
      "Log lines were dropped, because of the limit per event or a slow "
      "reader."},
+    {"callback_slow", LogVolume::kBounded,
+     "One callback of the event loop kept it from all other work for 50 ms or "
+     "longer."},
     {"handler_failed", LogVolume::kBounded,
      "A handler ended with an unexpected exception; what it was working on is "
      "given up."},
@@ -315,12 +318,14 @@
     {"service", "Service of the server."},
     {"signal", "Number of the signal."},
     {"slots", "Requests that the server runs at the same time."},
+    {"source", "What a callback of the event loop was called for."},
     {"status", "HTTP status."},
     {"table_version", "Version of the routing table that decided."},
     {"term", "Term of the replicated group or of a fencing token."},
     {"tier", "Tier of the class."},
     {"time", "Wall clock, UTC."},
     {"tokens", "Output tokens."},
+    {"took_ms", "Duration of the callback."},
     {"tries", "Attempts of any kind that were started so far."},
     {"unlisted", "Value of an input whose name is missing in this list."},
     {"urgency", "Urgency at the engine; 0 is the most urgent."},
--- a/tests/unit/net/event_loop_test.cc
+++ b/tests/unit/net/event_loop_test.cc
@@ -3,9 +3,11 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <stdexcept>
 
+#include "absl/time/clock.h"
 #include "gtest/gtest.h"
 
 namespace camphorsail {
@@ -39,5 +41,36 @@
   close(pipe_fds[1]);
 }
 
+TEST(EventLoopTest, ObserverIsToldWhatKeptTheLoop) {
+  EventLoop loop;
+  std::array<int, 2> pipe_fds = {-1, -1};
+  ASSERT_EQ(pipe(pipe_fds.data()), 0);
+  const absl::Duration kWork = absl::Milliseconds(20);
+  absl::Duration backend;
+  absl::Duration late;
+  loop.SetObserver(
+      {.on_callback =
+           [&](LoopSource source, absl::Duration took) {
+             backend = source == LoopSource::kBackend ? std::max(backend, took)
+                                                      : backend;
+           },
+       .on_timer = [&](absl::Duration lag) { late = std::max(late, lag); }});
+  bool timer_ran = false;
+  loop.Watch(
+      pipe_fds[0], EPOLLIN,
+      [&](uint32_t) {
+        loop.RunAt(loop.now(), [&timer_ran] { timer_ran = true; });
+        absl::SleepFor(kWork);
+      },
+      LoopSource::kBackend);
+  ASSERT_EQ(write(pipe_fds[1], "x", 1), 1);
+  loop.RunOnce();
+  EXPECT_TRUE(timer_ran);
+  EXPECT_GE(backend, kWork);
+  EXPECT_GE(late, kWork);
+  close(pipe_fds[0]);
+  close(pipe_fds[1]);
+}
+
 }  // namespace
 }  // namespace camphorsail
