--- a/camphorsail/gateway/event_stream.cc
+++ b/camphorsail/gateway/event_stream.cc
@@ -6,42 +6,27 @@
 #include "absl/strings/numbers.h"
 
 namespace camphorsail {
-namespace {
-
-/// @return Length of the first complete event in `text`, including the empty
-/// line that ends it; 0 when there is none.
-size_t EventLength(std::string_view text) {
-  size_t line = 0;
-  while (line < text.size()) {
-    const size_t end = text.find('\n', line);
-    if (end == std::string_view::npos) {
-      return 0;
-    }
+std::string EventStream::Take(std::string_view data) {
+  rest_.append(data);
+  size_t taken = 0;
+  size_t end = 0;
+  while ((end = rest_.find('\n', scanned_)) != std::string::npos) {
     const bool is_empty =
-        end == line || (end == line + 1 && text[line] == '\r');
+        end == line_ || (end == line_ + 1 && rest_[line_] == '\r');
+    line_ = end + 1;
+    scanned_ = line_;
     // An empty line without a preceding line does not end an event, but may be
     // forwarded as if it did.
     if (is_empty) {
-      return end + 1;
+      ReadId(std::string_view(rest_).substr(taken, line_ - taken));
+      taken = line_;
+      ++count_;
     }
-    line = end + 1;
-  }
-  return 0;
-}
-
-}  // namespace
-
-std::string EventStream::Take(std::string_view data) {
-  rest_.append(data);
-  size_t taken = 0;
-  const std::string_view text = rest_;
-  while (const size_t length = EventLength(text.substr(taken))) {
-    ReadId(text.substr(taken, length));
-    taken += length;
-    ++count_;
   }
   std::string events = rest_.substr(0, taken);
   rest_.erase(0, taken);
+  line_ -= taken;
+  scanned_ = rest_.size();
   return events;
 }
 
--- a/camphorsail/gateway/event_stream.h
+++ b/camphorsail/gateway/event_stream.h
@@ -9,7 +9,8 @@
 namespace camphorsail {
 
 /// Splits a `text/event-stream` body into complete events, so that a broken
-/// stream can be resumed after the last complete event.
+/// stream can be resumed after the last complete event. Looks at each byte
+/// once, however the body is divided and however long an event is.
 class EventStream {
  public:
   /// @param data The next bytes of the body.
@@ -28,6 +29,10 @@
   void ReadId(std::string_view event);
 
   std::string rest_;
+  /// Start of the last line of `rest_`, whose end has not arrived.
+  size_t line_ = 0;
+  /// Bytes of `rest_` in which no further end of a line can be found.
+  size_t scanned_ = 0;
   std::optional<uint64_t> last_id_;
   uint64_t count_ = 0;
 };
--- a/tests/unit/gateway/gateway_parts_test.cc
+++ b/tests/unit/gateway/gateway_parts_test.cc
@@ -1,8 +1,13 @@
+#include <ctime>
+#include <string>
+
+#include "absl/time/time.h"
 #include "camphorsail/gateway/answer_budget.h"
 #include "camphorsail/gateway/event_stream.h"
 #include "camphorsail/gateway/refusal_outbox.h"
 #include "camphorsail/gateway/table_lease.h"
 #include "gtest/gtest.h"
+#include "rapidcheck.h"
 
 // Tests of the parts of the gateway that need no sockets.
 namespace camphorsail {
@@ -80,5 +85,57 @@
   EXPECT_EQ(stream.count(), 2U);
 }
 
+/// @return Processor time of this thread.
+absl::Duration ThreadTime() {
+  timespec time = {};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return absl::DurationFromTimespec(time);
+}
+
+/// @return Processor time for an event that never ends, of short lines.
+absl::Duration TimeOfEndlessEvent(size_t bytes) {
+  constexpr size_t kPieceBytes = 1024;
+  std::string piece;
+  while (piece.size() < kPieceBytes) {
+    piece += "~\n";
+  }
+  EventStream events;
+  const absl::Duration start = ThreadTime();
+  for (size_t sent = 0; sent < bytes; sent += piece.size()) {
+    EXPECT_TRUE(events.Take(piece).empty());
+  }
+  return ThreadTime() - start;
+}
+
+// Guards against a server whose lines without an empty one hold up all other
+// requests of the gateway, because each piece makes it read all lines again.
+TEST(EventStreamTest, WorkGrowsWithTheBytesAndNotWithTheirSquare) {
+  constexpr size_t kBytes = 128 << 10;
+  constexpr int kFactor = 32;
+  TimeOfEndlessEvent(kBytes);
+  const absl::Duration small = TimeOfEndlessEvent(kBytes);
+  EXPECT_LT(TimeOfEndlessEvent(kBytes * kFactor), small * kFactor * 4);
+}
+
+TEST(EventStreamTest, EventsDoNotDependOnThePiecesOfTheBody) {
+  rc::check([] {
+    const std::string body = *rc::gen::container<std::string>(
+        rc::gen::elementOf(std::string("\n\n\r\n\n:id1 d")));
+    EventStream whole;
+    const std::string events = whole.Take(body);
+    EventStream pieces;
+    std::string taken;
+    for (size_t at = 0; at < body.size();) {
+      const size_t size = *rc::gen::inRange<size_t>(1, 8);
+      taken += pieces.Take(std::string_view(body).substr(at, size));
+      at += size;
+    }
+    RC_ASSERT(taken == events);
+    RC_ASSERT(taken + pieces.rest() == body);
+    RC_ASSERT(pieces.count() == whole.count());
+    RC_ASSERT(pieces.last_id() == whole.last_id());
+  });
+}
+
 }  // namespace
 }  // namespace camphorsail
