A server that ends while its caller does not read leaves the loop alone

While a caller reads slowly, the gateway stops reading from the server. If the server's channel is then reset, epoll reports the error at each wait, whatever events are asked for, and the handler does nothing: the loop spins on a whole core until the caller reads or the time limit passes.

Such a connection is not watched until the caller has taken its data. What the server had sent is read then, and the end behind it.

BackendConnectionTest.ResetWhilePausedDoesNotOccupyTheLoop failed before: 100 iterations of the loop in 4 ms, where it now waits.

--- a/camphorsail/gateway/backend_connection.cc
+++ b/camphorsail/gateway/backend_connection.cc
@@ -66,10 +66,7 @@
   }
   fd_ = *fd;
   EnableKeepalive(fd_, kPeerFailureTimeout);
-  watched_events_ = EPOLLIN | EPOLLOUT | EPOLLRDHUP;
-  watch_ = loop_->Watch(
-      fd_, watched_events_, [this](uint32_t events) { OnEvents(events); },
-      LoopSource::kBackend);
+  StartWatching(EPOLLIN | EPOLLOUT | EPOLLRDHUP);
   connect_timer_ = loop_->RunAt(loop_->now() + connect_timeout, [this] {
     Fail(BackendFailure::kNotConnected);
   });
@@ -176,8 +173,14 @@
     OnConnected();
     return;
   }
+  if (paused_ && (events & (EPOLLERR | EPOLLHUP)) != 0) {
+    // These are reported for as long as the descriptor is watched. What the
+    // server sent before is read when the caller has taken its data.
+    loop_->Unwatch(std::exchange(watch_, 0));
+    return;
+  }
   if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLERR | EPOLLHUP)) != 0 &&
-      (!paused_ || (events & (EPOLLERR | EPOLLHUP)) != 0)) {
+      !paused_) {
     Read();
   }
   if (fd_ >= 0 && (events & EPOLLOUT) != 0) {
@@ -325,6 +328,13 @@
   UpdateWatch();
 }
 
+void BackendConnection::StartWatching(uint32_t events) {
+  watched_events_ = events;
+  watch_ = loop_->Watch(
+      fd_, events, [this](uint32_t ready) { OnEvents(ready); },
+      LoopSource::kBackend);
+}
+
 void BackendConnection::UpdateWatch() {
   if (fd_ < 0) {
     return;
@@ -333,6 +343,12 @@
   if (connecting_ || output_offset_ < output_.size()) {
     events |= EPOLLOUT;
   }
+  if (watch_ == 0) {
+    if (!paused_) {
+      StartWatching(events);
+    }
+    return;
+  }
   if (events != watched_events_) {
     watched_events_ = events;
     loop_->ChangeEvents(watch_, events);
--- a/camphorsail/gateway/backend_connection.h
+++ b/camphorsail/gateway/backend_connection.h
@@ -68,6 +68,7 @@
   void Read();
   void Parse(const char* data, size_t size);
   void Write();
+  void StartWatching(uint32_t events);
   void UpdateWatch();
   void Finish();
   void Fail(BackendFailure failure);
@@ -76,6 +77,7 @@
   int fd_ = -1;
   EventLoop* const loop_;
   const Owner* const owner_;
+  /// Zero while the connection has failed and is paused.
   EventLoop::WatchId watch_ = 0;
   uint32_t watched_events_ = 0;
   EventLoop::TimerId connect_timer_;
--- a/tests/unit/gateway/backend_connection_test.cc
+++ b/tests/unit/gateway/backend_connection_test.cc
@@ -196,6 +196,34 @@
   }
 }
 
+// Guards against a loop that is occupied for as long as a caller does not read,
+// because the server of its stream has ended.
+TEST_F(BackendConnectionTest, ResetWhilePausedDoesNotOccupyTheLoop) {
+  Outcome outcome;
+  BackendConnection* connection = pool_.Take({"127.0.0.1", server_.port()});
+  connection->Start("GET /one HTTP/1.1\r\n\r\n", false, HandlersOf(&outcome));
+  ASSERT_TRUE(WaitForRequest("one"));
+  connection->SetPaused(true);
+  server_.connection(0).Write(
+      "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+  server_.connection(0).Reset();
+  constexpr int kMaxIterations = 100;
+  int iterations = 0;
+  bool is_over = false;
+  driver_.loop.RunAt(driver_.loop.now() + absl::Milliseconds(50),
+                     [&is_over] { is_over = true; });
+  while (!is_over && iterations < kMaxIterations) {
+    driver_.loop.RunOnce();
+    ++iterations;
+  }
+  EXPECT_LT(iterations, kMaxIterations);
+  EXPECT_FALSE(outcome.is_over());
+  connection->SetPaused(false);
+  ASSERT_TRUE(WaitFor(outcome));
+  EXPECT_EQ(outcome.body, "half");
+  EXPECT_TRUE(outcome.failed);
+}
+
 TEST_F(BackendConnectionTest, TruncatedAnswersFail) {
   for (const char* answer :
        {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
