Chunks that arrive together are passed on together

The body bytes of one read are passed on at once. BackendConnectionTest.ChunksOfOneReadArePassedOnTogether failed before: 1,000 calls for 1,000 chunks.

--- a/camphorsail/gateway/backend_connection.cc
+++ b/camphorsail/gateway/backend_connection.cc
@@ -124,10 +124,10 @@
                               const char* data,
                               size_t size) {
   BackendConnection* self = Self(parser);
-  if (self->final_head_received_ && self->request_in_progress_) {
-    self->handlers_.on_data({data, size});
+  if (self->final_head_received_) {
+    self->body_piece_.append(data, size);
   }
-  return self->request_in_progress_ ? 0 : -1;
+  return 0;
 }
 
 int BackendConnection::OnMessageComplete(http_parser* parser) {
@@ -150,6 +150,7 @@
   output_ = std::move(request);
   output_offset_ = 0;
   write_error_ = 0;
+  body_piece_.clear();
   sent_ = false;
   is_head_ = is_head;
   paused_ = false;
@@ -275,6 +276,10 @@
 void BackendConnection::Parse(const char* data, size_t size) {
   const size_t parsed =
       http_parser_execute(&parser_, &ParserSettings(), data, size);
+  const std::string piece = std::exchange(body_piece_, {});
+  if (request_in_progress_ && !piece.empty()) {
+    handlers_.on_data(piece);
+  }
   if (!request_in_progress_ || fd_ < 0) {
     // A handler has cancelled the request.
     return;
--- a/camphorsail/gateway/backend_connection.h
+++ b/camphorsail/gateway/backend_connection.h
@@ -97,6 +97,9 @@
 
   http_parser parser_;
   HeaderCollector collector_;
+  /// Body bytes of the current read. They are passed on together, because a
+  /// server decides how many chunks they are divided into.
+  std::string body_piece_;
   /// Interim (1xx) answers to the request so far.
   int interim_answers_ = 0;
   /// The head of the final (not interim) answer has arrived.
--- a/tests/unit/gateway/backend_connection_test.cc
+++ b/tests/unit/gateway/backend_connection_test.cc
@@ -17,6 +17,7 @@
 struct Outcome {
   int status = 0;
   std::string body;
+  int pieces = 0;
   bool ended = false;
   bool failed = false;
   bool sent = false;
@@ -36,6 +37,7 @@
     };
     handlers.on_data = [outcome](std::string_view data) {
       outcome->body.append(data);
+      ++outcome->pieces;
     };
     handlers.on_end = [outcome] { outcome->ended = true; };
     handlers.on_failure = [outcome](BackendFailure failure, bool sent) {
@@ -224,6 +226,21 @@
   EXPECT_TRUE(outcome.failed);
 }
 
+// Guards against a server that makes the gateway work for each byte, and write
+// it to the caller on its own, by chunks of one byte.
+TEST_F(BackendConnectionTest, ChunksOfOneReadArePassedOnTogether) {
+  constexpr int kChunks = 1000;
+  std::string answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int i = 0; i < kChunks; ++i) {
+    answer += "1\r\nx\r\n";
+  }
+  Outcome outcome;
+  ASSERT_TRUE(ServeFirst(&outcome, answer + "0\r\n\r\n"));
+  EXPECT_TRUE(outcome.ended);
+  EXPECT_EQ(outcome.body, std::string(kChunks, 'x'));
+  EXPECT_LE(outcome.pieces, 5);
+}
+
 TEST_F(BackendConnectionTest, TruncatedAnswersFail) {
   for (const char* answer :
        {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
