Trailers of a request are not headers of the next one

The fields behind a chunked body stayed in the collector of the connection and stood before the headers of the caller's next request on it, so that a server got them with a request that did not have them (review, remark on trailers).

The collector is emptied when a request begins. CallerConnectionTest.TrailersAreNotHeadersOfTheNextRequest failed before.

--- a/camphorsail/gateway/caller_connection.cc
+++ b/camphorsail/gateway/caller_connection.cc
@@ -103,6 +103,8 @@
   CallerConnection* self = Self(parser);
   self->ReleaseReservedBytes();
   self->head_ = HttpRequestHead();
+  // Trailers of the preceding request are dropped.
+  self->collector_ = HeaderCollector();
   self->body_.clear();
   self->rejected_ = false;
   self->head_complete_ = false;
--- a/tests/unit/gateway/caller_connection_test.cc
+++ b/tests/unit/gateway/caller_connection_test.cc
@@ -138,6 +138,18 @@
   EXPECT_TRUE(bad_.empty());
 }
 
+// Guards against trailer fields that become headers of the next request.
+TEST_F(CallerConnectionTest, TrailersAreNotHeadersOfTheNextRequest) {
+  RawSocket socket = Connect();
+  socket.Write(
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "1\r\na\r\n0\r\nX-Late: 1\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(WaitForRequests(1));
+  caller_->SendComplete(200, HttpHeaders(), "first");
+  ASSERT_TRUE(WaitForRequests(2));
+  EXPECT_EQ(heads_[1].headers.Find("X-Late"), nullptr);
+}
+
 TEST_F(CallerConnectionTest, ReadsAChunkedBody) {
   RawSocket socket = Connect();
   socket.Write(
