--- a/camphorsail/gateway/backend_fleet.cc
+++ b/camphorsail/gateway/backend_fleet.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "camphorsail/base/fnv_hash.h"
+#include "camphorsail/base/header_text.h"
 #include "camphorsail/process/log_event.h"
 
 namespace camphorsail {
@@ -31,6 +32,19 @@
   }
 }
 
+void BackendFleet::SetServices(const std::vector<ServiceProfile>& services,
+                               MonoTime now) {
+  services_.emplace();
+  for (const ServiceProfile& service : services) {
+    services_->insert(service.name);
+  }
+  const std::map<BackendServerId, Unnamed> unnamed =
+      std::exchange(unnamed_, {});
+  for (const auto& [id, server] : unnamed) {
+    Add(server.view, server.announcement, now);
+  }
+}
+
 const BackendFleet::Servers& BackendFleet::ServersOf(
     const ModelId& service) const {
   static const Servers* const none = new Servers;
@@ -68,12 +82,25 @@
                        MonoTime now) {
   const Expected<NetworkAddress> address =
       ParseNetworkAddress(announcement.description.address);
-  if (!address || view.targets.empty()) {
+  // The id is written into the head of each request to the server.
+  if (!address || view.targets.empty() || !IsHeaderToken(view.server.value())) {
     LogEvent("server_unusable", LogLevel::kWarning)
         .Add("server", view.server)
         .Add("address", announcement.description.address);
     return;
   }
+  if (services_.has_value() && !services_->contains(view.targets.front())) {
+    Remove(view.server, now);
+    if (unnamed_.insert_or_assign(view.server, Unnamed{view, announcement})
+            .second) {
+      LogEvent("server_unusable", LogLevel::kWarning)
+          .Add("server", view.server)
+          .Add("service", view.targets.front())
+          .Add("reason", "no routing table names the service");
+    }
+    return;
+  }
+  unnamed_.erase(view.server);
   const auto known = servers_.find(view.server);
   if (known != servers_.end()) {
     BackendServer& server = *known->second;
@@ -126,6 +153,7 @@
 }
 
 void BackendFleet::Remove(const BackendServerId& id, MonoTime now) {
+  unnamed_.erase(id);
   const auto found = servers_.find(id);
   if (found == servers_.end()) {
     return;
--- a/camphorsail/gateway/backend_fleet.h
+++ b/camphorsail/gateway/backend_fleet.h
@@ -2,14 +2,17 @@
 #define CAMPHORSAIL_GATEWAY_BACKEND_FLEET_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "camphorsail/base/ids.h"
 #include "camphorsail/base/mono_time.h"
 #include "camphorsail/membership/server_registry.h"
 #include "camphorsail/placement/backend_server.h"
+#include "camphorsail/routing/service_profile.h"
 #include "camphorsail/placement/gateway_server_load.h"
 
 namespace camphorsail {
@@ -27,6 +30,11 @@
              const ServerRegistry& registry,
              MonoTime now);
 
+  /// Takes the services of a new routing table. A server of a service that no
+  /// table names is not used, and takes the place of no other server, until
+  /// there is one that does.
+  void SetServices(const std::vector<ServiceProfile>& services, MonoTime now);
+
   /// @return The servers of a service that may get new requests, ordered by
   /// hash; empty when there are none.
   const Servers& ServersOf(const ModelId& service) const;
@@ -46,6 +54,12 @@
     MonoTime removed_at;
   };
 
+  /// A server of a service that the routing table does not name.
+  struct Unnamed {
+    ServerView view;
+    ServerAnnouncement announcement;
+  };
+
   void Add(const ServerView& view,
            const ServerAnnouncement& announcement,
            MonoTime now);
@@ -58,6 +72,9 @@
   /// Servers that were removed after they had said that they are leaving. A
   /// late announcement must not bring them back.
   std::map<BackendServerId, Leaving> leaving_;
+  /// The services of the routing table; nothing before the first one.
+  std::optional<absl::flat_hash_set<ModelId>> services_;
+  std::map<BackendServerId, Unnamed> unnamed_;
 };
 
 }  // namespace camphorsail
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -140,6 +140,7 @@
 void Gateway::SetTable(const Ref<SharedRoutingTable>& table) {
   index_ = MakeRef<RouteIndex>(table);
   index_since_ = loop_->now();
+  fleet_.SetServices(table->table.services, loop_->now());
   LogEvent("routing_in_force")
       .Add("version", table->table.version)
       .Add("routes", table->table.routes.size())
@@ -389,6 +390,11 @@
   if (exchange->started_attempts == 0 && !AdmitOrRefuse(exchange, choice)) {
     return;
   }
+  Expected<std::string> head = BuildRequestHead(*exchange, server, now);
+  if (!head) {
+    Refuse(exchange, head.error().kind, head.error().message);
+    return;
+  }
   ++exchange->started_attempts;
   model.admission().OnStarted(exchange->placement.urgency, now);
   ExchangeAttempt& attempt = exchange->attempt.emplace();
@@ -420,8 +426,8 @@
                                               ? kMinStreamProgressTimeout
                                               : kMinCallProgressTimeout));
   }
-  attempt.connection->Start(BuildRequestHead(*exchange, server, now),
-                            exchange->body, exchange->head.method == "HEAD",
+  attempt.connection->Start(*std::move(head), exchange->body,
+                            exchange->head.method == "HEAD",
                             MakeHandlers(exchange));
 }
 
@@ -528,9 +534,9 @@
   return check;
 }
 
-std::string Gateway::BuildRequestHead(const Exchange& exchange,
-                                      const BackendServer& server,
-                                      MonoTime now) const {
+Expected<std::string> Gateway::BuildRequestHead(const Exchange& exchange,
+                                                const BackendServer& server,
+                                                MonoTime now) const {
   HttpHeaders headers;
   const HopByHopHeaders hop_by_hop(exchange.head.headers);
   for (const HttpHeaders::Item& item : exchange.head.headers.items()) {
@@ -549,6 +555,11 @@
   }
   parameters.last_event = exchange.last_event;
   dialect_.write_forward_headers(parameters, &headers);
+  if (!AreHeadersValid(headers)) {
+    // A line end in a value would change the request, or add another one.
+    return Fail(ErrorKind::kInternal,
+                "a header of the request to the server is not valid");
+  }
   std::string request = absl::StrCat(exchange.head.method, " ",
                                      exchange.head.target, " HTTP/1.1\r\n");
   headers.AppendTo(&request);
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -153,10 +153,11 @@
   AdmissionCheck DescribeAdmission(const Exchange& exchange,
                                    const PlacementChoice& choice,
                                    absl::Duration limit);
-  /// @return The head of the request as it is sent to `server`.
-  std::string BuildRequestHead(const Exchange& exchange,
-                               const BackendServer& server,
-                               MonoTime now) const;
+  /// @return The head of the request as it is sent to `server`; `kInternal`
+  /// when a header is not valid.
+  Expected<std::string> BuildRequestHead(const Exchange& exchange,
+                                         const BackendServer& server,
+                                         MonoTime now) const;
   BackendHandlers MakeHandlers(Exchange* exchange);
 
   /// Handles the status line and headers of an answer.
--- a/camphorsail/routing/routing_table.cc
+++ b/camphorsail/routing/routing_table.cc
@@ -4,7 +4,9 @@
 #include <set>
 #include <utility>
 
+#include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
+#include "camphorsail/base/header_text.h"
 
 namespace camphorsail {
 namespace {
@@ -65,6 +67,15 @@
   }
   std::map<std::string, ClientAccountId> key_owners;
   for (const AccountKeys& account : accounts) {
+    // The id is written into the head of each request of the account.
+    if (!IsHeaderText(account.account.value())) {
+      return Fail(ErrorKind::kSettingsInvalid,
+                  absl::StrCat("the name of an account must have 1 to ",
+                               kMaxHeaderTextBytes,
+                               " bytes, no control characters, and no space at "
+                               "its ends, but is '",
+                               absl::CEscape(account.account.value()), "'"));
+    }
     for (const std::string& key : account.api_keys) {
       const auto [owner, inserted] = key_owners.emplace(key, account.account);
       if (!inserted && owner->second != account.account) {
--- a/tests/unit/gateway/gateway_test.cc
+++ b/tests/unit/gateway/gateway_test.cc
@@ -41,16 +41,20 @@
 
   /// Tells the gateway of a start of a server.
   /// @param i Index of the server.
+  /// @param id Id in place of the server's.
   void Announce(size_t i,
                 Incarnation incarnation,
-                AnnouncementSequence sequence) {
+                AnnouncementSequence sequence,
+                const std::string& service = "svc",
+                const std::string& id = "") {
     ServerAnnouncement announcement;
-    announcement.server = BackendServerId("s" + std::to_string(i));
+    announcement.server =
+        BackendServerId(id.empty() ? "s" + std::to_string(i) : id);
     announcement.version = {incarnation, sequence};
     announcement.description.address =
         "127.0.0.1:" + std::to_string(servers_[i].port());
     announcement.description.kind = ServerKind::kService;
-    announcement.description.targets = {ModelId("svc")};
+    announcement.description.targets = {ModelId(service)};
     announcement.description.capacity = 4;
     ASSERT_TRUE(registry_.OnAnnouncement(announcement, driver_.loop.now()));
     ServerRegistry::Changes changes = registry_.TakeChanges(driver_.loop.now());
@@ -726,5 +730,35 @@
   EXPECT_TRUE(NoFurtherAttempt());
 }
 
+// Guards against an odd announcement that takes the place of a sound server:
+// its requests would be sent with a line end in the middle of their heads, or
+// to no server.
+TEST_F(GatewayTest, OddAnnouncementDoesNotTakeTheAddressOfASoundServer) {
+  for (size_t i = 0; i < servers_.size(); ++i) {
+    const std::string name = std::to_string(i);
+    Announce(i, Incarnation(9), AnnouncementSequence(1), "svc",
+             "s" + name + "\r\nX-Foreign: 1");
+    Announce(i, Incarnation(9), AnnouncementSequence(1), "other", "o" + name);
+  }
+  RawSocket caller = Call("/safe/x");
+  RawSocket* server = NextAttempt();
+  ASSERT_NE(server, nullptr);
+  EXPECT_EQ(last_request_.find("X-Foreign"), std::string::npos);
+  server->Write(Answer("200 OK", kSigned, "whole"));
+  EXPECT_TRUE(WaitFor(&caller, "whole"));
+  EXPECT_EQ(gateway_.fleet().ServersOf(ModelId("svc")).size(), 2U);
+  EXPECT_TRUE(gateway_.fleet().ServersOf(ModelId("other")).empty());
+}
+
+TEST_F(GatewayTest, ServerIsUsedOnceATableNamesItsService) {
+  Announce(0, Incarnation(9), AnnouncementSequence(1), "other", "o0");
+  RoutingTable table;
+  table.version = 2;
+  table.services = {{.name = ModelId("svc")}, {.name = ModelId("other")}};
+  gateway_.SetTable(MakeRef<SharedRoutingTable>(table));
+  EXPECT_EQ(gateway_.fleet().ServersOf(ModelId("other")).size(), 1U);
+  EXPECT_EQ(gateway_.fleet().ServersOf(ModelId("svc")).size(), 1U);
+}
+
 }  // namespace
 }  // namespace camphorsail
--- a/tests/unit/platform/platform_test.cc
+++ b/tests/unit/platform/platform_test.cc
@@ -50,6 +50,11 @@
   expect_rejected("no version", [](auto* root) { root->erase("version"); });
   expect_rejected("version is not a number",
                   [](auto* root) { (*root)["version"] = "x"; });
+  for (const char* name : {"", "a\r\nX: y", "a\n", " a", "a "}) {
+    expect_rejected("name of an account", [name](auto* root) {
+      (*root)["tenants"][0]["name"] = name;
+    });
+  }
   expect_rejected("unknown service",
                   [](auto* root) { (*root)["routes"][1]["service"] = "z"; });
   expect_rejected("two routes with one host and prefix", [](auto* root) {
@@ -91,6 +96,13 @@
                                {"born", 5}};
   ASSERT_TRUE(ParseRegistration("i", good.dump(), kNow));
   EXPECT_FALSE(ParseRegistration("", good.dump(), kNow));
+  // The id stands in the head of each request to the server.
+  for (const std::string id : {"i\n", "i\r\n", "i\r\nTenant-Id: x", " i", "i i",
+                               "i\t", "i\x7f", "\xc3\xa9"}) {
+    EXPECT_FALSE(ParseRegistration(id, good.dump(), kNow)) << id;
+  }
+  EXPECT_FALSE(ParseRegistration(std::string(257, 'i'), good.dump(), kNow));
+  EXPECT_FALSE(ParseRegistration(std::string("i\0i", 3), good.dump(), kNow));
   EXPECT_FALSE(ParseRegistration("i", "not json", kNow));
   EXPECT_FALSE(ParseRegistration("i", "[1]", kNow));
   for (const auto& [key, value] :
@@ -108,6 +120,9 @@
            {"address", "10.0.0.9:0"},
            {"address", "10.0.0.9:70000"},
            {"address", "10.0.0.9:-1"},
+           {"service", "m\r\nX: y"},
+           {"version", 1},
+           {"models", "m"},
            {"address", "10.0.0.9:99999999999999999999"},
            {"born", "x"}}) {
     nlohmann::json bad = good;
