Memory that is meant to be freed is freed

The listeners of control VMs and of the entry path kept a rejected body in memory while they dropped the rest of it, though its bytes were given back to their limit; the entry path kept prompts and bodies for the ledger that it no longer needed. Read in the code, not measured there.

--- a/camphorsail/entry/entry_shard_admission.h
+++ b/camphorsail/entry/entry_shard_admission.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "camphorsail/base/release_memory.h"
 #include "camphorsail/entry/entry_shard.h"
 #include "camphorsail/entry/error_answer.h"
 #include "camphorsail/entry/prefix_hash.h"
@@ -296,7 +297,7 @@
   } else {
     descriptor.max_output_tokens = Tokens(1);
   }
-  request->model.prompt = std::string();
+  ReleaseMemory(&request->model.prompt);
   RecordDecision(
       *request, "schedule", "admitted",
       {{"class", effective_class.class_id.value()},
--- a/camphorsail/entry/entry_shard_answer.h
+++ b/camphorsail/entry/entry_shard_answer.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 
+#include "camphorsail/base/release_memory.h"
 #include "camphorsail/entry/entry_shard.h"
 #include "camphorsail/entry/error_answer.h"
 
@@ -21,7 +22,7 @@
   if (!request->headers.idempotent && !request->ledger_body_truncated) {
     if (request->ledger_body.size() + data.size() > kMaxLedgerBodyBytes) {
       request->ledger_body_truncated = true;
-      request->ledger_body = std::string();
+      ReleaseMemory(&request->ledger_body);
     } else {
       request->ledger_body.append(data);
     }
--- a/camphorsail/http/stream_server.cc
+++ b/camphorsail/http/stream_server.cc
@@ -12,6 +12,7 @@
 #include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
 #include "absl/time/clock.h"
+#include "camphorsail/base/release_memory.h"
 
 namespace camphorsail {
 namespace {
@@ -265,7 +266,7 @@
       body.append(data, *size);
     }
     if (stream->body_failed_) {
-      body = std::string();
+      ReleaseMemory(&body);
       total_body_bytes_.fetch_sub(std::exchange(stream->counted_bytes_, 0));
     }
   }
@@ -284,7 +285,7 @@
   } else {
     response = MHD_create_response_from_buffer(
         stream->buffer_.size(), stream->buffer_.data(), MHD_RESPMEM_MUST_COPY);
-    stream->buffer_ = std::string();
+    ReleaseMemory(&stream->buffer_);
   }
   if (!stream->head_.content_type.empty()) {
     MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE,
