--- a/camphorsail/gateway/caller_connection.h
+++ b/camphorsail/gateway/caller_connection.h
@@ -11,6 +11,7 @@
 #include "camphorsail/gateway/caller_handlers.h"
 #include "camphorsail/gateway/http_parse.h"
 #include "camphorsail/net/event_loop.h"
+#include "camphorsail/net/tcp_socket.h"
 #include "camphorsail/routing/caller_limits.h"
 
 namespace camphorsail {
@@ -63,6 +64,10 @@
 
   /// @return Bytes of the answer that are not written to the socket yet.
   size_t unsent_bytes() const { return output_.size() - output_offset_; }
+  /// @return Bytes of answers that the caller's machine has not taken.
+  size_t untaken_bytes() const {
+    return unsent_bytes() + (fd_ < 0 ? 0 : UnacknowledgedBytes(fd_));
+  }
 
  private:
   enum class State : uint8_t {
--- a/camphorsail/gateway/caller_listener.cc
+++ b/camphorsail/gateway/caller_listener.cc
@@ -3,6 +3,7 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -108,6 +109,12 @@
       loop_->RunAt(loop_->now() + kSweepInterval, [this] { Sweep(); });
 }
 
+size_t CallerListener::untaken_answers() const {
+  return static_cast<size_t>(std::count_if(
+      connections_.begin(), connections_.end(),
+      [](const auto& item) { return item.first->untaken_bytes() > 0; }));
+}
+
 void CallerListener::CloseConnectionsWhenIdle() {
   std::vector<CallerConnection*> all;
   for (const auto& [connection, owned] : connections_) {
--- a/camphorsail/gateway/caller_listener.h
+++ b/camphorsail/gateway/caller_listener.h
@@ -45,6 +45,9 @@
 
   /// @return The port that the listener is bound to.
   uint16_t port() const { return port_; }
+  /// @return Connections whose callers have not taken all bytes of their
+  /// answers.
+  size_t untaken_answers() const;
   size_t open_connections() const { return connections_.size(); }
   /// @return Bytes of requests held in memory.
   size_t held_bytes() const { return budget_.requests().total(); }
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -162,6 +162,11 @@
 }
 
 void Gateway::EndDrain() {
+  if (!IsIdle() || !AreAnswersTaken()) {
+    LogEvent("drain_cut", LogLevel::kWarning)
+        .Add("requests", exchanges_.size())
+        .Add("answers", callers_->untaken_answers());
+  }
   std::vector<Exchange*> in_progress;
   for (const auto& [caller, exchange] : exchanges_) {
     in_progress.push_back(exchange.get());
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -104,6 +104,9 @@
   void StopCallers();
   /// @return True when no request is in progress.
   bool IsIdle() const { return exchanges_.empty(); }
+  /// @return True when the callers' machines have taken all bytes of the
+  /// answers so far.
+  bool AreAnswersTaken() const { return callers_->untaken_answers() == 0; }
   /// @return True while the gateway has a routing table with a valid lease and
   /// is not draining.
   bool IsReady() const;
--- a/camphorsail/net/tcp_socket.cc
+++ b/camphorsail/net/tcp_socket.cc
@@ -1,8 +1,10 @@
 #include "camphorsail/net/tcp_socket.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -152,6 +154,11 @@
   return fd;
 }
 
+size_t UnacknowledgedBytes(int fd) {
+  int bytes = 0;
+  return ioctl(fd, SIOCOUTQ, &bytes) == 0 ? static_cast<size_t>(bytes) : 0;
+}
+
 NetworkAddress LocalAddress(int fd) {
   SocketAddress address;
   address.size = sizeof(address.storage);
--- a/camphorsail/net/tcp_socket.h
+++ b/camphorsail/net/tcp_socket.h
@@ -35,6 +35,10 @@
 /// cannot be accepted.
 int AcceptTcp(int listen_fd);
 
+/// @return Bytes that were written to the socket and that the remote end has
+/// not acknowledged; 0 when the socket is closed.
+size_t UnacknowledgedBytes(int fd);
+
 /// @return The address of this end of a socket.
 NetworkAddress LocalAddress(int fd);
 /// @return The address of the remote end; an empty IP when the socket is no
--- a/camphorsail/peer/http2_socket.cc
+++ b/camphorsail/peer/http2_socket.cc
@@ -1,7 +1,5 @@
 #include "camphorsail/peer/http2_socket.h"
 
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -11,6 +9,7 @@
 #include <cstring>
 
 #include "absl/strings/str_cat.h"
+#include "camphorsail/net/tcp_socket.h"
 
 namespace camphorsail {
 namespace {
@@ -195,9 +194,7 @@
 }
 
 bool Http2Socket::HasUnacknowledgedBytes() const {
-  int in_kernel = 0;
-  return write_blocked() ||
-         (ioctl(fd_, SIOCOUTQ, &in_kernel) == 0 && in_kernel > 0);
+  return write_blocked() || UnacknowledgedBytes(fd_) > 0;
 }
 
 MonoTime Http2Socket::NextLivenessCheck(absl::Duration ping_interval,
--- a/camphorsail/process/log_schema.h
+++ b/camphorsail/process/log_schema.h
@@ -21,6 +21,9 @@
     {"drain_completed", LogVolume::kEveryLine,
      "The requests are finished and the last minutes recorded, or the time "
      "limit of the stop has passed."},
+    {"drain_cut", LogVolume::kEveryLine,
+     "The time limit of a stop has passed while requests were in progress or "
+     "callers had not taken their answers."},
     {"daemon_stopped", LogVolume::kEveryLine, "The process ends."},
     {"settings_reloaded", LogVolume::kEveryLine,
      "The process's settings were read again and took effect."},
@@ -208,6 +211,7 @@
     {"age_ms", "Time since the request arrived at this process."},
     {"all_requests_finished",
      "Whether all requests finished before the process stopped."},
+    {"answers", "Answers that their callers have not taken."},
     {"announcements_port", "Port for announcements of servers."},
     {"attempt", "Number of the attempt."},
     {"attempt_ms", "Time since the attempt began."},
@@ -309,6 +313,7 @@
     {"replica", "VM of a replica."},
     {"replicas", "VMs of the replicas, in the order of preference."},
     {"request", "The request's id; also in the answer."},
+    {"requests", "Requests in progress."},
     {"requests_finished", "Whether all requests finished."},
     {"rest_ms", "Time for which the server gets no requests."},
     {"result", "Number of the attempt's result."},
--- a/camphorsail/runtime/gateway_daemon.cc
+++ b/camphorsail/runtime/gateway_daemon.cc
@@ -358,7 +358,7 @@
 
 void GatewayDaemon::CheckDrained() {
   const absl::Duration limit = options_.drain_timeout - kExitMargin;
-  all_requests_finished_ = gateway_.IsIdle();
+  all_requests_finished_ = gateway_.IsIdle() && gateway_.AreAnswersTaken();
   if (all_requests_finished_ || loop_.now() - drain_started_at_ >= limit) {
     gateway_.EndDrain();
     // The last answers may not have been written yet.
--- a/tests/process/hostile_peers_test.py
+++ b/tests/process/hostile_peers_test.py
@@ -1,8 +1,9 @@
-"""Callers and backend servers that send without end or do not read, at gateways with a memory limit."""
+"""Callers and backend servers that send without end, read slowly or not at all, at a gateway with a memory limit."""
 
 import contextlib
 import os
 import random
+import signal
 import socket
 import sys
 import threading
@@ -152,6 +153,22 @@
         self.run_hostile(60, ask)
         self.check_sound_requests()
 
+    # Guards against a planned stop that cuts complete answers on their way to callers behind slow links.
+    def test_planned_stop_waits_for_callers_that_read_slowly(self):
+        with socket.socket() as connection:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 * 1024)
+            connection.settimeout(5)
+            connection.connect((self.fleet.gateway_ip(1), CALLER_PORT))
+            connection.sendall(self.head("/odd/large", "slow", "Content-Length: 0\r\n\r\n"))
+            time.sleep(0.3)
+            self.fleet.kill("gateway1", signal.SIGTERM)
+            received = 0
+            while data := connection.recv(65536):
+                received += len(data)
+                time.sleep(0.04)
+        self.assertGreater(received, LARGE_BYTES)
+        self.assertEqual(self.fleet.wait("gateway1"), 0)
+
     # Guards against bytes of a server that fill the memory or occupy the only thread.
     def test_servers_send_without_end(self):
         kinds = list(OddServer.KINDS)
--- a/tests/unit/gateway/gateway_test.cc
+++ b/tests/unit/gateway/gateway_test.cc
@@ -760,5 +760,33 @@
   EXPECT_EQ(gateway_.fleet().ServersOf(ModelId("svc")).size(), 1U);
 }
 
+// Guards against a planned stop that cuts answers which are complete at the
+// gateway and still on their way to callers behind slow links.
+TEST_F(GatewayTest, DrainWaitsUntilCallersHaveTakenTheirAnswers) {
+  const std::string piece(100'000, 'x');
+  constexpr size_t kPieces = 9;
+  for (const std::string path : {"/safe/x", "/stream/x"}) {
+    RawSocket caller = Call(path);
+    RawSocket* server = NextAttempt();
+    ASSERT_NE(server, nullptr);
+    const std::string more = std::string(kSigned) + "Content-Length: " +
+                             std::to_string(kPieces * piece.size() + 2) +
+                             "\r\n\r\n";
+    server->Write("HTTP/1.1 200 OK\r\nX-Id: 42\r\n" + more);
+    for (size_t i = 0; i < kPieces; ++i) {
+      server->Write(piece);
+      driver_.RunFor(absl::Milliseconds(20));
+    }
+    server->Write("\n\n");
+    driver_.RunFor(absl::Milliseconds(100));
+    EXPECT_FALSE(gateway_.AreAnswersTaken()) << path;
+    EXPECT_TRUE(driver_.RunUntil([&] {
+      caller.Poll();
+      return gateway_.IsIdle() && gateway_.AreAnswersTaken();
+    })) << path;
+    EXPECT_GT(caller.received().size(), kPieces * piece.size()) << path;
+  }
+}
+
 }  // namespace
 }  // namespace camphorsail
