A configuration that is accepted can be replicated, and is never refused later (CONFIG)

Cause: a command holds the document and the table that is made of it, and went into the log of the leader whatever its size. A message between replicas has at most 4 MiB; a larger one was dropped without a line in the log, the same entry was sent again for good, and all later entries waited behind it. And a change whose outcome is not known was answered 409, which is a refusal there.

--- a/camphorsail/control/command.h
+++ b/camphorsail/control/command.h
@@ -56,6 +56,12 @@
 /// @return The MessagePack encoding of `command`.
 std::string EncodeCommand(const Command& command);
 
+/// Largest encoded command that is accepted. It has room for the largest
+/// routing document that the listeners take and for the table that is made of
+/// it, and fits into a message between replicas together with their largest
+/// append of other entries.
+inline constexpr size_t kMaxCommandBytes = 12 << 20;
+
 /// @param bytes An encoding by `EncodeCommand`.
 /// @return The command; `kProtocolError` when `bytes` is not one.
 Expected<Command> DecodeCommand(std::string_view bytes);
--- a/camphorsail/control/command_submitter.h
+++ b/camphorsail/control/command_submitter.h
@@ -30,10 +30,12 @@
   };
 
   /// @param resend_interval Time without an answer after which a command is
-  ///     sent again.
+  ///     sent again; longer for a large one, which the leader would else
+  ///     replicate several times.
   explicit CommandSubmitter(absl::Duration resend_interval);
 
-  /// Adds a command.
+  /// Adds a command. One that is larger than `kMaxCommandBytes` is not sent,
+  /// and is answered with `kBodyTooLarge` by the next call of `ExpireDue`.
   /// @param token A number that this VM uses only once, also across its
   ///     restarts.
   /// @param command An encoded `Command`.
@@ -62,6 +64,7 @@
     MonoTime next_send;
     /// True once the command may have reached a leader.
     bool sent = false;
+    bool is_too_large = false;
   };
 
   absl::Duration resend_interval_;
--- a/camphorsail/peer/peer_transport_settings.h
+++ b/camphorsail/peer/peer_transport_settings.h
@@ -28,11 +28,12 @@
   /// peer when it connects; it is assumed to listen on the port of `listen`.
   bool accept_unlisted_peers = false;
 
-  /// Largest payload of one message, in bytes.
-  size_t max_message_bytes = 4 << 20;
+  /// Largest payload of one message, in bytes. A replicated command is sent in
+  /// one message.
+  size_t max_message_bytes = 16 << 20;
   /// Bounds of the queue to one peer.
   size_t max_queued_messages = 8192;
-  size_t max_queued_bytes = 16 << 20;
+  size_t max_queued_bytes = 32 << 20;
   /// Bounds of the connections accepted, in total and before authentication.
   size_t max_inbound_connections = 1024;
   size_t max_unauthenticated_connections = 64;
--- a/camphorsail/process/log_schema.h
+++ b/camphorsail/process/log_schema.h
@@ -194,6 +194,8 @@
      "The connection to a daemon ended."},
     {"peer_unreachable", LogVolume::kEveryLine,
      "No connection to a daemon could be made."},
+    {"peer_message_dropped", LogVolume::kBounded,
+     "A message to another daemon was not sent."},
     {"peer_refused", LogVolume::kBounded,
      "A connection of another daemon was refused."},
     {"peer_accept_paused", LogVolume::kEveryLine,
--- a/camphorsail/runtime/daemon_platform.cc
+++ b/camphorsail/runtime/daemon_platform.cc
@@ -63,10 +63,20 @@
 }
 
 void Daemon::SendTo(const VmId& to, PeerMessage message) {
-  if (peers_->Send(to, message) == PeerSendResult::kUnknownPeer &&
-      !options_.seeds.empty() &&
+  const size_t bytes = message.payload.size();
+  PeerSendResult result = peers_->Send(to, message);
+  if (result == PeerSendResult::kUnknownPeer && !options_.seeds.empty() &&
       peers_->AddPeer({to, {to.value(), options_.peer_listen.port}})) {
-    peers_->Send(to, std::move(message));
+    result = peers_->Send(to, std::move(message));
+  }
+  if (result == PeerSendResult::kTooLarge ||
+      result == PeerSendResult::kQueueFull) {
+    LogEvent("peer_message_dropped", LogLevel::kWarning)
+        .Add("peer", to)
+        .Add("bytes", bytes)
+        .Add("reason", result == PeerSendResult::kTooLarge
+                           ? "larger than a message may be"
+                           : "too many bytes or messages wait for the peer");
   }
 }
 
--- a/tests/process/gateway_path_test.py
+++ b/tests/process/gateway_path_test.py
@@ -47,6 +47,18 @@
             status, text = self.fleet.control_call("GET", "/-/config", only=[i])
             self.assertEqual((status, json.loads(text)), (200, good))
 
+    # Guards against a change that is refused and in force later: its outcome is not known here.
+    def test_change_without_a_quorum_is_not_refused(self):
+        for i in (2, 3):
+            self.fleet.kill(f"control{i}", signal.SIGSTOP)
+        status, _ = self.fleet.control_call("PUT", "/-/config", json.dumps(self.fleet.document(2)), timeout=9, only=[1])
+        self.assertEqual(status, 0)
+        refused = re.compile("event=routing_refused .*code=outcome_unknown")
+        wait_until("the reason is logged", lambda: refused.search(self.fleet.log("control1")))
+        for i in (2, 3):
+            self.fleet.kill(f"control{i}", signal.SIGCONT)
+        wait_until("a change is accepted", lambda: self.fleet.put_config(self.fleet.document(3)) == 200)
+
     def test_revoked_key_ends_at_every_gateway(self):
         self.assertEqual(self.fleet.put_config(self.fleet.document(2, keys=("k2",))), 200)
         for i in (1, 2):
--- a/tests/unit/platform/platform_test.cc
+++ b/tests/unit/platform/platform_test.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/str_cat.h"
+#include "camphorsail/control/command.h"
+#include "camphorsail/http/stream_server_settings.h"
 #include "gtest/gtest.h"
 #include "platform/registration.h"
 #include "platform/routing_document.h"
@@ -37,6 +39,28 @@
   EXPECT_EQ(table->accounts.at(0).rank, 1);
 }
 
+// Guards against a valid document that the listeners take and that is then too
+// large to be replicated.
+TEST(RoutingDocumentTest, LargestDocumentFitsIntoACommand) {
+  const size_t limit = StreamServerSettings().max_body_bytes;
+  std::string document = R"({"version":1,"services":[{"name":"s"}],"routes":[)";
+  const std::string end = "]}";
+  for (int i = 0;; ++i) {
+    const std::string route =
+        absl::StrCat(i == 0 ? "" : ",", R"({"host":"","pathPrefix":"/)", i,
+                     R"(/","service":"s","timeoutMs":1})");
+    if (document.size() + route.size() + end.size() > limit) {
+      break;
+    }
+    document += route;
+  }
+  Expected<RoutingTable> table = ParseRoutingDocument(document + end);
+  ASSERT_TRUE(table) << table.error().message;
+  Command command;
+  command.body = *std::move(table);
+  EXPECT_LE(EncodeCommand(command).size(), kMaxCommandBytes);
+}
+
 TEST(RoutingDocumentTest, RejectsMalformedOrInvalidDocuments) {
   const auto expect_rejected = [](const char* what, const auto& change) {
     nlohmann::json root = nlohmann::json::parse(kSampleDocument);
