--- a/camphorsail/gateway/backend_fleet.h
+++ b/camphorsail/gateway/backend_fleet.h
@@ -12,8 +12,8 @@
 #include "camphorsail/base/mono_time.h"
 #include "camphorsail/membership/server_registry.h"
 #include "camphorsail/placement/backend_server.h"
-#include "camphorsail/routing/service_profile.h"
 #include "camphorsail/placement/gateway_server_load.h"
+#include "camphorsail/routing/service_profile.h"
 
 namespace camphorsail {
 
--- a/camphorsail/gateway/exchange.h
+++ b/camphorsail/gateway/exchange.h
@@ -83,8 +83,11 @@
   const Route* route = nullptr;
   const ServiceProfile* service = nullptr;
   ClientAccountId account;
-  /// Parts of the prompt that other requests may share.
-  PromptPartHashes shared_parts;
+  /// Why the request may end a server: the parts of its prompt that other
+  /// requests may share, and the request as a whole once its hash is known.
+  PromptPartHashes causes;
+  /// Identifies the request as a whole; computed when it is first needed.
+  std::optional<PromptPartHash> request_hash;
   PlacementRequest placement;
   /// How the request was treated last because of the parts of its prompt.
   PartJudgement judgement;
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -332,7 +332,7 @@
   placement.prompt_tokens = exchange->request.prompt_tokens;
   placement.prefixes = PromptPrefixes::Of(exchange->request.model,
                                           exchange->request.prompt_parts);
-  exchange->shared_parts =
+  exchange->causes =
       SharedPartHashes(exchange->request.model, exchange->request.prompt_parts);
   placement.objective = absl::Milliseconds(route.objective_ms);
   placement.tokens_per_event = std::max(1, exchange->service->tokens_per_event);
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -222,15 +222,17 @@
                      bool allowed = false);
   // Implemented in gateway_quarantine.cc.
 
-  /// Decides by the parts of the prompt whether the request may be sent to a
+  /// Adds the request as a whole to its causes.
+  void HashRequest(Exchange* exchange);
+  /// Decides by what servers have ended on whether the request may be sent to a
   /// server.
   /// @return False when the request was refused.
   bool PassesQuarantine(Exchange* exchange);
   /// @return True when a failed request may be sent to another server, as far
-  /// as the parts of its prompt are concerned.
+  /// as the ends of servers are concerned.
   bool MayBeHandedOn(const Exchange& exchange) const;
-  /// @return True when another request with the part is on a server.
-  bool IsPartOnServer(const Exchange& exchange, PromptPartHash part) const;
+  /// @return True when another request with the cause is on a server.
+  bool IsCauseOnServer(const Exchange& exchange, PromptPartHash cause);
   /// Keeps a request whose attempt broke off until it is known whether the
   /// server has ended, if the request may be the reason.
   /// @return False when the request is not kept.
--- a/camphorsail/gateway/gateway_quarantine.cc
+++ b/camphorsail/gateway/gateway_quarantine.cc
@@ -3,6 +3,7 @@
 
 #include "camphorsail/gateway/gateway.h"
 #include "camphorsail/process/log_event.h"
+#include "camphorsail/quarantine/request_hash.h"
 
 // The parts of `Gateway` that keep requests which end their servers from being
 // handed from server to server.
@@ -26,36 +27,57 @@
 
 }  // namespace
 
+void Gateway::HashRequest(Exchange* exchange) {
+  if (exchange->request_hash.has_value()) {
+    return;
+  }
+  exchange->request_hash =
+      RequestHash({exchange->account, exchange->head.method,
+                   exchange->head.target, exchange->request.model,
+                   exchange->request.prompt_parts, exchange->body});
+  exchange->causes.insert(
+      std::lower_bound(exchange->causes.begin(), exchange->causes.end(),
+                       *exchange->request_hash),
+      *exchange->request_hash);
+}
+
 bool Gateway::PassesQuarantine(Exchange* exchange) {
   const MonoTime now = loop_->now();
+  if (quarantine_.HasEvidence()) {
+    HashRequest(exchange);
+  }
   exchange->placement.isolated = false;
-  exchange->judgement = quarantine_.Judge(exchange->shared_parts, now);
+  exchange->judgement = quarantine_.Judge(exchange->causes, now);
   if (exchange->judgement.crashes >= PartQuarantine::kCrashesForVerdict) {
     // A verdict may be due.
     AdvanceQuarantine();
-    exchange->judgement = quarantine_.Judge(exchange->shared_parts, now);
+    exchange->judgement = quarantine_.Judge(exchange->causes, now);
   }
   const PartJudgement& judgement = exchange->judgement;
   switch (judgement.treatment) {
     case PartTreatment::kNormal:
       return true;
     case PartTreatment::kIsolated:
-      exchange->placement.isolated = true;
+      // Most requests on a server that ended are sound, and come once.
+      exchange->placement.isolated =
+          judgement.suspect != exchange->request_hash;
       return true;
     case PartTreatment::kOneAtATime:
-      if (!IsPartOnServer(*exchange, judgement.suspect)) {
+      if (!IsCauseOnServer(*exchange, judgement.suspect)) {
         exchange->placement.isolated = true;
         return true;
       }
       exchange->suspected_for = kRetryAfterSuspected;
-      Refuse(exchange, ErrorKind::kPromptPartSuspected,
-             "servers have ended on a part of the prompt, and another request "
-             "with it is on a server");
+      Refuse(
+          exchange, ErrorKind::kPromptPartSuspected,
+          "servers have ended on the request or on a part of its prompt, and "
+          "another such request is on a server");
       return false;
     case PartTreatment::kUndecided:
       exchange->suspected_for = judgement.wait;
       Refuse(exchange, ErrorKind::kPromptPartSuspected,
-             "several servers have ended on a part of the prompt");
+             "several servers have ended on the request or on a part of its "
+             "prompt");
       return false;
     case PartTreatment::kQuarantined:
       if (exchange->possible_runs == 0 &&
@@ -68,7 +90,7 @@
       }
       quarantine_.OnRefused(judgement.entry, now);
       Refuse(exchange, ErrorKind::kPromptPartQuarantined,
-             "servers end on a part of the prompt");
+             "servers end on the request or on a part of its prompt");
       return false;
   }
   return true;
@@ -76,16 +98,20 @@
 
 bool Gateway::MayBeHandedOn(const Exchange& exchange) const {
   return exchange.ended_servers < kMaxEndedServers &&
-         quarantine_.Judge(exchange.shared_parts, loop_->now()).treatment <
+         quarantine_.Judge(exchange.causes, loop_->now()).treatment <
              PartTreatment::kOneAtATime;
 }
 
-bool Gateway::IsPartOnServer(const Exchange& exchange,
-                             PromptPartHash part) const {
+bool Gateway::IsCauseOnServer(const Exchange& exchange, PromptPartHash cause) {
   for (const auto& [caller, other] : exchanges_) {
-    if (other.get() != &exchange && other->attempt.has_value() &&
-        std::binary_search(other->shared_parts.begin(),
-                           other->shared_parts.end(), part)) {
+    if (other.get() == &exchange || !other->attempt.has_value()) {
+      continue;
+    }
+    if (exchange.request_hash == cause) {
+      // The other one may have been sent before any server ended.
+      HashRequest(other.get());
+    }
+    if (std::binary_search(other->causes.begin(), other->causes.end(), cause)) {
       return true;
     }
   }
@@ -94,16 +120,16 @@
 
 bool Gateway::HoldForCrashCheck(Exchange* exchange, std::string_view failure) {
   ExchangeAttempt& attempt = *exchange->attempt;
-  if (attempt.has_settled || attempt.server->wishes.is_leaving() ||
-      !quarantine_.HasUnknownPart(exchange->shared_parts, loop_->now())) {
+  if (attempt.has_settled || attempt.server->wishes.is_leaving()) {
     return false;
   }
+  HashRequest(exchange);
   loop_->Cancel(exchange->progress_timer);
   exchange->is_held = true;
-  const bool is_repeated = exchange->placement.isolated &&
+  const bool is_repeated = exchange->judgement.crashes > 0 &&
                            loop_->now() - attempt.started_at >= kMinRepeatTime;
   held_[attempt.server.get()].push_back({exchange->caller, exchange->number,
-                                         exchange->shared_parts, is_repeated,
+                                         exchange->causes, is_repeated,
                                          std::string(failure)});
   crashes_.Check(attempt.server);
   return true;
@@ -144,11 +170,16 @@
 }
 
 void Gateway::RecordSettled(Exchange* exchange) {
-  if (std::exchange(exchange->attempt->has_settled, true) ||
-      (!exchange->service->is_engine && exchange->shared_parts.empty())) {
+  if (std::exchange(exchange->attempt->has_settled, true)) {
     return;
   }
-  quarantine_.OnAnswerBegun(exchange->shared_parts, loop_->now());
+  PromptPartHashes begun = exchange->causes;
+  if (exchange->request_hash.has_value() &&
+      !quarantine_.IsSuspect(*exchange->request_hash)) {
+    // Nothing has to be remembered of requests that come once.
+    std::erase(begun, *exchange->request_hash);
+  }
+  quarantine_.OnAnswerBegun(begun, loop_->now());
 }
 
 void Gateway::AdvanceQuarantine() {
@@ -166,13 +197,17 @@
   std::vector<Exchange*> ended;
   for (const auto& [caller, owned] : exchanges_) {
     Exchange* exchange = owned.get();
+    if (!exchange->attempt.has_value() || exchange->attempt->has_answer ||
+        exchange->is_held) {
+      continue;
+    }
+    HashRequest(exchange);
     const bool is_quarantined =
         std::any_of(verdicts.begin(), verdicts.end(),
                     [exchange](const PartVerdict& verdict) {
-                      return ContainsAll(exchange->shared_parts, verdict.parts);
+                      return ContainsAll(exchange->causes, verdict.parts);
                     });
-    if (is_quarantined && exchange->attempt.has_value() &&
-        !exchange->attempt->has_answer && !exchange->is_held) {
+    if (is_quarantined) {
       ended.push_back(exchange);
     }
   }
--- a/camphorsail/gateway/gateway_telemetry.cc
+++ b/camphorsail/gateway/gateway_telemetry.cc
@@ -183,9 +183,12 @@
            absl::ToInt64Milliseconds(now - exchange.attempt->started_at))
       .Add("failure", failure)
       .Add("next", next);
-  if (!exchange.attempt->has_answer && !exchange.shared_parts.empty()) {
+  if (!exchange.attempt->has_answer && !exchange.causes.empty()) {
     event.Add("parts", JoinPartIds(exchange));
   }
+  if (exchange.request_hash.has_value()) {
+    event.Add("request_hash", ToHex(*exchange.request_hash));
+  }
 }
 
 void GatewayTelemetry::OnServerChecked(const BackendServer& server,
--- a/camphorsail/process/log_schema.h
+++ b/camphorsail/process/log_schema.h
@@ -315,6 +315,8 @@
     {"replica", "VM of a replica."},
     {"replicas", "VMs of the replicas, in the order of preference."},
     {"request", "The request's id; also in the answer."},
+    {"request_hash",
+     "Identifies the content of the request, however often it comes again."},
     {"requests", "Requests in progress."},
     {"requests_finished", "Whether all requests finished."},
     {"rest_ms", "Time for which the server gets no requests."},
--- a/camphorsail/quarantine/crash_evidence.h
+++ b/camphorsail/quarantine/crash_evidence.h
@@ -26,7 +26,7 @@
   static constexpr size_t kMaxCrashes = 64;
   /// Suspects of one crash. Those with the lowest hashes are kept, so that all
   /// processes keep the same ones.
-  static constexpr size_t kMaxSuspects = 16;
+  static constexpr size_t kMaxSuspects = 64;
   /// Time for which a crash is kept.
   static constexpr absl::Duration kLifetime = absl::Minutes(10);
 
--- a/camphorsail/quarantine/part_quarantine.cc
+++ b/camphorsail/quarantine/part_quarantine.cc
@@ -119,6 +119,18 @@
   return judgement;
 }
 
+bool PartQuarantine::IsSuspect(PromptPartHash part) const {
+  return std::any_of(evidence_.crashes().begin(), evidence_.crashes().end(),
+                     [part](const auto& item) {
+                       return item.second.suspects.contains(part);
+                     }) ||
+         std::any_of(verdicts_.begin(), verdicts_.end(),
+                     [part](const Verdict& verdict) {
+                       return std::binary_search(verdict.parts.begin(),
+                                                 verdict.parts.end(), part);
+                     });
+}
+
 bool PartQuarantine::HasUnknownPart(const PromptPartHashes& parts,
                                     MonoTime now) const {
   return std::any_of(parts.begin(), parts.end(), [&](PromptPartHash part) {
--- a/camphorsail/quarantine/part_quarantine.h
+++ b/camphorsail/quarantine/part_quarantine.h
@@ -68,6 +68,12 @@
   /// @param parts Shared parts of a request.
   /// @return How to treat the request.
   PartJudgement Judge(const PromptPartHashes& parts, MonoTime now) const;
+  /// @return False when no server has ended on anything, as far as is known.
+  bool HasEvidence() const {
+    return !verdicts_.empty() || !evidence_.crashes().empty();
+  }
+  /// @return True when the part is a suspect of a crash, or has a verdict.
+  bool IsSuspect(PromptPartHash part) const;
   /// @return True when no answer began recently on one of the parts.
   bool HasUnknownPart(const PromptPartHashes& parts, MonoTime now) const;
 
--- a/tests/unit/gateway_quarantine/gateway_quarantine_test.cc
+++ b/tests/unit/gateway_quarantine/gateway_quarantine_test.cc
@@ -96,12 +96,17 @@
                            driver_.loop.now());
   }
 
+  /// Sends a request whose last part no other one has.
   void Send(const std::string& parts) {
+    SendAgain(absl::StrCat(parts, ",own", callers_.size()));
+  }
+  /// Sends a request under another request id.
+  void SendAgain(const std::string& parts) {
     callers_.push_back({RawSocket::Connect(gateway_.callers_port()),
                         parts.find(kBadPart) != std::string::npos});
     callers_.back().socket.Write(absl::StrCat(
         "POST /chat/x HTTP/1.1\r\nHost: h\r\nX-Id: ", callers_.size(),
-        "\r\nX-Prompt: 400\r\nX-Parts: ", parts, ",own", callers_.size(),
+        "\r\nX-Prompt: 400\r\nX-Parts: ", parts,
         "\r\nContent-Length: 4\r\n\r\nbody"));
   }
 
@@ -214,6 +219,23 @@
   EXPECT_GE(CountAnswers(false, "data: a\n\n"), 2 * kRounds - 10);
 }
 
+// Guards against a request that ends each server which takes it, has only parts
+// that others begin on, and comes again under another id.
+TEST_F(GatewayQuarantineTest, RequestThatEndsServersStopsReachingThem) {
+  constexpr int kRounds = 50;
+  for (int i = 0; i < kRounds; ++i) {
+    Send("first,second");
+    Send("first,other");
+    if (i % 2 == 0) {
+      SendAgain(absl::StrCat("first,second,", kBadPart));
+    }
+    RunFor(kArrivalInterval);
+  }
+  EXPECT_EQ(crashes_, PartQuarantine::kCrashesForVerdict);
+  RunFor(absl::Seconds(1));
+  EXPECT_GE(CountAnswers(false, "data: a\n\n"), 2 * kRounds - 10);
+}
+
 // The refusal is true, and does not ask the caller to come back.
 TEST_F(GatewayQuarantineTest, QuarantinedRequestsAreRefusedAsNotRun) {
   QuarantineBadPart();
--- a/tests/unit/net/event_loop_test.cc
+++ b/tests/unit/net/event_loop_test.cc
@@ -45,7 +45,7 @@
   EventLoop loop;
   std::array<int, 2> pipe_fds = {-1, -1};
   ASSERT_EQ(pipe(pipe_fds.data()), 0);
-  const absl::Duration kWork = absl::Milliseconds(20);
+  const absl::Duration work = absl::Milliseconds(20);
   absl::Duration backend;
   absl::Duration late;
   loop.SetObserver(
@@ -60,14 +60,14 @@
       pipe_fds[0], EPOLLIN,
       [&](uint32_t) {
         loop.RunAt(loop.now(), [&timer_ran] { timer_ran = true; });
-        absl::SleepFor(kWork);
+        absl::SleepFor(work);
       },
       LoopSource::kBackend);
   ASSERT_EQ(write(pipe_fds[1], "x", 1), 1);
   loop.RunOnce();
   EXPECT_TRUE(timer_ran);
-  EXPECT_GE(backend, kWork);
-  EXPECT_GE(late, kWork);
+  EXPECT_GE(backend, work);
+  EXPECT_GE(late, work);
   close(pipe_fds[0]);
   close(pipe_fds[1]);
 }
