Kept connections follow a change of the limits

The limits are read when a request begins. CallerConnectionTest.KeptConnectionFollowsAChangeOfTheLimits; it was not run on the code before, which has no call of the limits after the accept.

--- a/camphorsail/gateway/caller_connection.cc
+++ b/camphorsail/gateway/caller_connection.cc
@@ -50,13 +50,14 @@
 
 CallerConnection::CallerConnection(int fd,
                                    EventLoop* loop,
-                                   const CallerLimits& limits,
+                                   const std::function<CallerLimits()>* limits,
                                    CallerBudget* budget,
                                    ByteAccount* answers,
                                    const CallerHandlers* handlers)
     : fd_(fd),
       loop_(loop),
-      limits_(limits),
+      current_limits_(limits),
+      limits_((*limits)()),
       handlers_(handlers),
       request_bytes_(&budget->requests(),
                      [this] { PostCall(&CallerConnection::GiveUpRequest); }),
@@ -131,6 +132,7 @@
 int CallerConnection::OnMessageBegin(http_parser* parser) {
   CallerConnection* self = Self(parser);
   self->request_bytes_.Release();
+  self->limits_ = (*self->current_limits_)();
   self->head_ = HttpRequestHead();
   // Trailers of the preceding request are dropped.
   ReleaseMemory(&self->collector_);
--- a/camphorsail/gateway/caller_connection.h
+++ b/camphorsail/gateway/caller_connection.h
@@ -2,6 +2,7 @@
 #define CAMPHORSAIL_GATEWAY_CALLER_CONNECTION_H_
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -23,13 +24,15 @@
 class CallerConnection {
  public:
   /// @param fd Socket; the connection takes ownership of it.
+  /// @param limits Called when a request begins, so that kept connections
+  /// follow a change; must outlive the connection.
   /// @param budget Must outlive the connection.
   /// @param answers Counts the bytes that the caller has not taken; must
   /// outlive the connection.
   /// @param handlers Must outlive the connection.
   CallerConnection(int fd,
                    EventLoop* loop,
-                   const CallerLimits& limits,
+                   const std::function<CallerLimits()>* limits,
                    CallerBudget* budget,
                    ByteAccount* answers,
                    const CallerHandlers* handlers);
@@ -123,7 +126,9 @@
 
   int fd_;
   EventLoop* const loop_;
-  const CallerLimits limits_;
+  const std::function<CallerLimits()>* const current_limits_;
+  /// The limits of the current or last request.
+  CallerLimits limits_;
   const CallerHandlers* const handlers_;
   /// Bytes of the current request.
   ByteHolder request_bytes_;
--- a/camphorsail/gateway/caller_listener.cc
+++ b/camphorsail/gateway/caller_listener.cc
@@ -85,7 +85,7 @@
       continue;
     }
     auto owned = std::make_unique<CallerConnection>(
-        fd, loop_, limits_(), &budget_, answers_, &handlers_);
+        fd, loop_, &limits_, &budget_, answers_, &handlers_);
     CallerConnection* connection = owned.get();
     if (closing_after_next_answer_) {
       connection->CloseAfterNextAnswer();
--- a/camphorsail/gateway/caller_listener.h
+++ b/camphorsail/gateway/caller_listener.h
@@ -18,7 +18,7 @@
 /// thread-safe; used on the event loop's thread only.
 class CallerListener {
  public:
-  /// @param limits Called for each new connection to get its limits.
+  /// @param limits Called for each request to get its limits.
   /// @param budget Limits of all connections together.
   /// @param answers Counts the bytes that callers have not taken; must outlive
   /// the listener.
--- a/tests/unit/gateway/caller_connection_test.cc
+++ b/tests/unit/gateway/caller_connection_test.cc
@@ -289,6 +289,28 @@
   EXPECT_TRUE(WaitFor(&headers, "HTTP/1.1 431"));
 }
 
+// Guards against kept connections that refuse by the limits of an earlier
+// configuration.
+TEST_F(CallerConnectionTest, KeptConnectionFollowsAChangeOfTheLimits) {
+  RawSocket socket = Connect();
+  const std::string request =
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1500\r\n\r\n" +
+      std::string(1500, 'x');
+  socket.Write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(WaitForRequests(1));
+  caller_->SendComplete(200, HttpHeaders(), "first");
+  ASSERT_TRUE(WaitFor(&socket, "first"));
+  limits_.max_body_bytes = 2000;
+  socket.Write(request);
+  ASSERT_TRUE(WaitForRequests(2));
+  EXPECT_EQ(bodies_[1].size(), 1500U);
+  caller_->SendComplete(200, HttpHeaders(), "second");
+  ASSERT_TRUE(WaitFor(&socket, "second"));
+  limits_.max_body_bytes = 1000;
+  socket.Write(request);
+  EXPECT_TRUE(WaitFor(&socket, "HTTP/1.1 413"));
+}
+
 // Guards against an aborted answer that looks complete to the caller.
 TEST_F(CallerConnectionTest, AbortedAnswerHasNoFinalChunk) {
   RawSocket socket = Connect();
