A refused body does not keep others out while its memory is freed

Traced: frees the memory of a refused body before its bytes leave the limit, so that another body in arrival was refused too.

--- a/camphorsail/http/stream_server.cc
+++ b/camphorsail/http/stream_server.cc
@@ -266,8 +266,9 @@
       body.append(data, *size);
     }
     if (stream->body_failed_) {
-      ReleaseMemory(&body);
+      // First, so that no other body is refused while the memory is freed.
       total_body_bytes_.fetch_sub(std::exchange(stream->counted_bytes_, 0));
+      ReleaseMemory(&body);
     }
   }
   *size = 0;
