--- a/camphorsail/membership/server_announcement.h
+++ b/camphorsail/membership/server_announcement.h
@@ -50,6 +50,8 @@
   int capacity = 1;
   /// True when the server rejects orders with a stale fencing token.
   bool checks_fencing_tokens = false;
+  /// True when the provider may reclaim the server, see `ServerTenure`.
+  bool reclaimable = false;
 
   friend bool operator==(const ServerDescription&,
                          const ServerDescription&) = default;
@@ -59,7 +61,8 @@
                  kind,
                  targets,
                  capacity,
-                 checks_fencing_tokens)
+                 checks_fencing_tokens,
+                 reclaimable)
 };
 
 /// Load of a server, which each announcement updates.
--- a/camphorsail/process/option_spec.cc
+++ b/camphorsail/process/option_spec.cc
@@ -200,6 +200,19 @@
   return true;
 }
 
+bool StoreProviderDuties(const std::string& text, Options* options) {
+  options->provider_duties = ProviderDuties();
+  for (const auto& duty : absl::StrSplit(text, ',', absl::SkipEmpty())) {
+    if (duty == "usage") {
+      options->provider_duties.usage = true;
+    } else if (duty == "scale") {
+      options->provider_duties.server_orders = true;
+    }
+    // Other duties are not the daemon's.
+  }
+  return true;
+}
+
 bool StorePeers(const std::string& text, Options* options) {
   options->peers.clear();
   if (text.empty()) {
@@ -312,6 +325,44 @@
                                [](double value, Options* options) {
                                  options->retry_window = absl::Seconds(value);
                                })),
+      OptionalListenOption("provider-address",
+                           "Address of the provider that takes usage reports "
+                           "and server orders.",
+                           &Options::provider),
+      {"provider-duties", "", "a comma-separated list of usage and scale",
+       "Calls that one daemon at a time makes to the provider: reports of "
+       "usage, orders of servers.",
+       StoreProviderDuties},
+      DecimalOption("provider-calls-per-s", 10, 0.1, 100000,
+                    "Calls per second that the provider accepts from all "
+                    "daemons together.",
+                    [](double value, Options* options) {
+                      options->provider_calls_per_s = value;
+                    }),
+      {"provider-checks-fencing", "false", "true or false",
+       "Whether the provider rejects calls with a stale fencing token.",
+       [](const std::string& value, Options* options) {
+         options->provider_checks_fencing = value == "true";
+         return value == "true" || value == "false";
+       }},
+      DecimalOption("duty-lease-ms", 3000, 100, 600000,
+                    "Milliseconds for which the holder of the duties may act "
+                    "after a quorum last confirmed it.",
+                    [](double value, Options* options) {
+                      options->duty_lease = absl::Milliseconds(value);
+                    }),
+      DecimalOption("usage-window-s", 0, 0, 86400,
+                    "Length in seconds of the windows in which requests are "
+                    "counted for usage reports; 0 for no counting.",
+                    [](double value, Options* options) {
+                      options->usage_window = absl::Seconds(value);
+                    }),
+      DecimalOption("usage-report-delay-s", 10, 0.1, 86400,
+                    "Seconds after the end of a window at which its usage "
+                    "report is due.",
+                    [](double value, Options* options) {
+                      options->usage_report_delay = absl::Seconds(value);
+                    }),
       IntegerOption("initial-voters", 0, 0, kMaxInitialVoters,
                     "Number of voters in the first membership; 0 means all "
                     "daemons, but at most 7.",
--- a/camphorsail/process/options.h
+++ b/camphorsail/process/options.h
@@ -35,6 +35,17 @@
 /// @return For example `entry,replica`.
 std::string ToString(const Roles& roles);
 
+/// The calls to the provider that one daemon at a time has to make.
+struct ProviderDuties {
+  /// Reports the requests of each account, see `UsageWindow`.
+  bool usage = false;
+  /// Orders servers, see `ServerOrder`.
+  bool server_orders = false;
+
+  friend bool operator==(const ProviderDuties&,
+                         const ProviderDuties&) = default;
+};
+
 /// The settings of one daemon process. Each has a flag, a `CAMPHORSAIL_*`
 /// variable and a default, declared in `OptionsTable`. After `ParseOptions`,
 /// only `SettingsReloader` changes them.
@@ -71,6 +82,22 @@
   double retry_ratio = 0;
   double retry_slack = 0;
   absl::Duration retry_window;
+  /// Address of the provider that takes usage reports and server orders; port 0
+  /// for none.
+  NetworkAddress provider;
+  /// The calls to the provider that are this deployment's duties.
+  ProviderDuties provider_duties;
+  /// Calls per second that the provider accepts from all daemons together.
+  double provider_calls_per_s = 0;
+  /// True when the provider rejects calls with a stale fencing token.
+  bool provider_checks_fencing = false;
+  /// Time for which the holder of the duties may act after a quorum last
+  /// confirmed it, and for which a new holder waits before it acts.
+  absl::Duration duty_lease;
+  /// Length of a usage window; zero when usage is not counted.
+  absl::Duration usage_window;
+  /// Time after the end of a usage window at which its report is due.
+  absl::Duration usage_report_delay;
   /// The other daemons; does not contain `vm`.
   std::vector<PeerAddress> peers;
   /// Number of voters in the initial membership, which are the daemons with the
--- a/camphorsail/routing/service_profile.h
+++ b/camphorsail/routing/service_profile.h
@@ -6,6 +6,7 @@
 
 #include "camphorsail/base/ids.h"
 #include "camphorsail/base/msgpack_strong_id.h"
+#include "camphorsail/routing/scaling_profile.h"
 
 namespace camphorsail {
 
@@ -27,6 +28,7 @@
   int64_t kv_capacity_tokens = 0;
   /// Number of output tokens in each event of a stream.
   int tokens_per_event = 1;
+  ScalingProfile scaling{};
 
   friend bool operator==(const ServiceProfile&,
                          const ServiceProfile&) = default;
@@ -36,7 +38,8 @@
                  is_engine,
                  slots,
                  kv_capacity_tokens,
-                 tokens_per_event)
+                 tokens_per_event,
+                 scaling)
 };
 
 }  // namespace camphorsail
