--- a/camphorsail/base/fnv_hash.h
+++ b/camphorsail/base/fnv_hash.h
@@ -27,6 +27,11 @@
   return value ^ (value >> 31);
 }
 
+/// @return Hash of a name that is equal on all VMs.
+inline uint64_t StableHash(std::string_view name) {
+  return MixBits(Fnv1a64(name));
+}
+
 }  // namespace camphorsail
 
 #endif  // CAMPHORSAIL_BASE_FNV_HASH_H_
--- a/camphorsail/control/command.h
+++ b/camphorsail/control/command.h
@@ -11,6 +11,7 @@
 #include "camphorsail/accounting/refused_minute_record.h"
 #include "camphorsail/base/error.h"
 #include "camphorsail/base/ids.h"
+#include "camphorsail/duties/duty_commands.h"
 #include "camphorsail/ledger/ledger_types.h"
 #include "camphorsail/membership/vm_registration.h"
 #include "camphorsail/orders/order_types.h"
@@ -41,7 +42,12 @@
                                  OrderIntent,
                                  OrderObservation,
                                  RoutingTable,
-                                 QuarantineChange>;
+                                 QuarantineChange,
+                                 DutyClaim,
+                                 UsageAgreement,
+                                 UsageSettlement,
+                                 OrderSettlement,
+                                 OrderHold>;
 
 /// One command to the replicated state machine, stored as a log entry.
 struct Command {
--- a/camphorsail/control/control_action.h
+++ b/camphorsail/control/control_action.h
@@ -16,6 +16,7 @@
 #include "camphorsail/control/command_result.h"
 #include "camphorsail/control/control_message.h"
 #include "camphorsail/control/effective_settings.h"
+#include "camphorsail/duties/provider_call.h"
 #include "camphorsail/limits/limit_types.h"
 #include "camphorsail/orders/order_types.h"
 #include "camphorsail/routing/routing_table.h"
@@ -97,6 +98,12 @@
   MonoTime deadline;
 };
 
+/// Make a call to the provider. Answered by a `ProviderCallEndedEvent`. The
+/// code that carries out the actions must not repeat the call.
+struct ProviderCallAction {
+  ProviderCall call;
+};
+
 /// This VM's shares of the account limits, for its request path.
 struct PublishLimitsAction {
   std::vector<LimitGrant> grants;
@@ -129,7 +136,8 @@
                                    EngineCallAction,
                                    ControlTimelineAction,
                                    PublishLimitsAction,
-                                   PublishRoutingAction>;
+                                   PublishRoutingAction,
+                                   ProviderCallAction>;
 
 }  // namespace camphorsail
 
--- a/camphorsail/control/control_event.h
+++ b/camphorsail/control/control_event.h
@@ -12,6 +12,8 @@
 #include "camphorsail/base/ids.h"
 #include "camphorsail/control/command.h"
 #include "camphorsail/control/control_message.h"
+#include "camphorsail/duties/duty_inputs.h"
+#include "camphorsail/duties/provider_call.h"
 #include "camphorsail/limits/limit_types.h"
 #include "camphorsail/orders/order_planner.h"
 
@@ -98,6 +100,17 @@
   std::optional<EngineObservation> observation;
 };
 
+/// What the duties ask for now. Replaces the inputs of the previous event.
+struct DutyInputsEvent {
+  DutyInputs inputs;
+};
+
+/// The outcome of a `ProviderCallAction`.
+struct ProviderCallEndedEvent {
+  uint64_t call_id = 0;
+  ProviderOutcome outcome = ProviderOutcome::kUnknown;
+};
+
 using ControlEvent = std::variant<ControlTickEvent,
                                   ControlMessageEvent,
                                   ControlWriteCompletedEvent,
@@ -109,7 +122,9 @@
                                   LeaveEvent,
                                   EnginesEvent,
                                   EngineCallResultEvent,
-                                  LimitDemandEvent>;
+                                  LimitDemandEvent,
+                                  DutyInputsEvent,
+                                  ProviderCallEndedEvent>;
 
 }  // namespace camphorsail
 
--- a/camphorsail/control/control_node.cc
+++ b/camphorsail/control/control_node.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "camphorsail/base/random.h"
+#include "camphorsail/duties/duty_store.h"
 #include "camphorsail/membership/vm_directory.h"
 #include "camphorsail/orders/order_store.h"
 #include "camphorsail/quarantine/quarantine_store.h"
@@ -60,6 +61,9 @@
       reads_(settings_.resend_interval),
       monitor_(now),
       orders_(settings_.orders),
+      duties_(settings_.duties,
+              settings_.registration.vm,
+              settings_.registration.incarnation),
       // The constant only makes this number differ from the one that is drawn
       // from `seed` below.
       limits_(settings_.limits,
@@ -111,6 +115,12 @@
     OrderDriver::Output output;
     orders_.OnCallResult(*result, state_.orders(), &output);
     HandleOrders(std::move(output));
+  } else if (const auto* inputs = std::get_if<DutyInputsEvent>(&event)) {
+    duties_.OnInputs(inputs->inputs);
+  } else if (const auto* ended = std::get_if<ProviderCallEndedEvent>(&event)) {
+    DutyDriver::Output output;
+    duties_.OnCallEnded(ended->call_id, ended->outcome, now_, &output);
+    HandleDuties(std::move(output));
   } else if (const auto* demand = std::get_if<LimitDemandEvent>(&event)) {
     const VmId leader = replica_->LeaderHint();
     LimitDemandReport report = limits_.MakeReport(demand->demands, now_);
@@ -199,6 +209,7 @@
   DeclareLostVm();
   SubmitLedgerBatches();
   PlanOrders();
+  PlanDuties();
   ContinueLeave();
   SendDueForwards();
   std::vector<CommandSubmitter::Answer> expired;
@@ -230,6 +241,14 @@
                      {{"version", absl::StrCat(reported_quarantine_)},
                       {"entries", absl::StrCat(quarantine.Entries().size())}});
   }
+  if (const DutyHolder& holder = state_.duties().holder();
+      holder.token != reported_duty_token_) {
+    reported_duty_token_ = holder.token;
+    AddTimelineEvent("duty_holder_changed",
+                     {{"holder", holder.claim.vm.value()},
+                      {"token", absl::StrCat(holder.token.value())},
+                      {"term", absl::StrCat(holder.claim.term.value())}});
+  }
   if (replica_->CurrentMembership() != reported_membership_) {
     reported_membership_ = replica_->CurrentMembership();
     std::vector<std::string> voters;
@@ -336,40 +355,6 @@
          settings_.submission_timeout);
 }
 
-void ControlNode::PlanOrders() {
-  if (!orders_.IsDue(now_)) {
-    return;
-  }
-  std::optional<OrderDriver::Leadership> leadership;
-  const std::optional<MonoTime> contact = replica_->QuorumContact();
-  // The leader plans orders only when its state contains all committed entries;
-  // otherwise it could repeat an order of an earlier leader. A VM that is
-  // leaving starts no orders, because they could outlast its process.
-  if (contact.has_value() && applied_ >= replica_->CommitIndex() &&
-      !leave_deadline_.has_value()) {
-    leadership = OrderDriver::Leadership{replica_->term(), *contact};
-  }
-  OrderDriver::Output output;
-  orders_.Advance(leadership, state_.orders(), now_, &output);
-  HandleOrders(std::move(output));
-}
-
-void ControlNode::HandleOrders(OrderDriver::Output output) {
-  for (OrderDriver::Proposal& proposal : output.proposals) {
-    Submit(SubmissionKind::kOrder, proposal.id, std::move(proposal.body),
-           settings_.submission_timeout);
-  }
-  for (EngineCallAction& call : output.calls) {
-    if (call.order.has_value()) {
-      AddTimelineEvent("order_sent",
-                       {{"server", call.server.value()},
-                        {"term", absl::StrCat(call.token.term.value())},
-                        {"counter", absl::StrCat(call.token.counter)}});
-    }
-    step_actions_.push_back(std::move(call));
-  }
-}
-
 void ControlNode::SendDueForwards() {
   const VmId leader = replica_->LeaderHint();
   const VmId& self = settings_.registration.vm;
--- a/camphorsail/control/control_node.h
+++ b/camphorsail/control/control_node.h
@@ -27,6 +27,7 @@
 #include "camphorsail/control/read_tracker.h"
 #include "camphorsail/control/refusal_recorder.h"
 #include "camphorsail/control/vm_monitor.h"
+#include "camphorsail/duties/duty_driver.h"
 
 namespace camphorsail {
 
@@ -90,6 +91,7 @@
     kLostVm,
     kLeave,
     kOrder,
+    kDuty,
   };
   struct Submission {
     SubmissionKind kind = SubmissionKind::kExternal;
@@ -139,6 +141,13 @@
   /// Lets the leader plan and send engine orders.
   void PlanOrders();
   void HandleOrders(OrderDriver::Output output);
+  /// Lets the holder of the duties agree on reports and call the provider.
+  void PlanDuties();
+  void HandleDuties(DutyDriver::Output output);
+  /// @return When a quorum last confirmed this VM as the leader, if it may act
+  /// on behalf of the group: its state contains all committed entries, and it
+  /// does not leave.
+  std::optional<MonoTime> ActingLeaderContact() const;
 
   void StepReplica(const ReplicaEvent& event);
   void HandleReplicaAction(const SendAction& action);
@@ -190,6 +199,7 @@
   ReadTracker reads_;
   VmMonitor monitor_;
   OrderDriver orders_;
+  DutyDriver duties_;
   LimitExchange limits_;
 
   /// Times passed to the `Step` call in progress.
@@ -216,6 +226,7 @@
   TermNumber reported_term_;
   Membership reported_membership_;
   uint64_t reported_quarantine_ = 0;
+  DutyToken reported_duty_token_;
 
   bool settings_changed_ = true;
   MonoTime published_lease_;
--- a/camphorsail/control/control_node_settings.cc
+++ b/camphorsail/control/control_node_settings.cc
@@ -23,6 +23,11 @@
                 "max_ledger_batch and max_ledger_batches_in_flight must be "
                 "above 0");
   }
+  if (duties.HasDuties() && (duties.lease <= absl::ZeroDuration() ||
+                             duties.provider_calls_per_s <= 0)) {
+    return Fail(ErrorKind::kSettingsInvalid,
+                "duties.lease and duties.provider_calls_per_s must be above 0");
+  }
   return {};
 }
 
--- a/camphorsail/control/control_node_settings.h
+++ b/camphorsail/control/control_node_settings.h
@@ -5,6 +5,7 @@
 #include "camphorsail/accounting/minute_clock.h"
 #include "camphorsail/base/error.h"
 #include "camphorsail/consensus/replica_settings.h"
+#include "camphorsail/duties/duty_settings.h"
 #include "camphorsail/limits/limit_allocator.h"
 #include "camphorsail/membership/vm_registration.h"
 #include "camphorsail/orders/order_planner.h"
@@ -19,6 +20,7 @@
   VmRegistration registration;
   MinuteClockSettings minute_clock;
   OrderPlannerSettings orders;
+  DutySettings duties;
   /// Time without an answer after which a command or a read is sent to the
   /// leader again.
   absl::Duration resend_interval = absl::Milliseconds(300);
--- a/camphorsail/control/control_node_submissions.cc
+++ b/camphorsail/control/control_node_submissions.cc
@@ -62,6 +62,9 @@
     case SubmissionKind::kOrder:
       orders_.OnProposalAnswer(submission.id, WasCommitted(answer.result));
       break;
+    case SubmissionKind::kDuty:
+      duties_.OnProposalAnswer(submission.id);
+      break;
   }
 }
 
--- a/camphorsail/control/control_state.cc
+++ b/camphorsail/control/control_state.cc
@@ -12,6 +12,7 @@
 #include "camphorsail/base/fnv_hash.h"
 #include "camphorsail/base/msgpack_unpack.h"
 #include "camphorsail/control/replicated_clock.h"
+#include "camphorsail/duties/duty_store.h"
 #include "camphorsail/ledger/ledger.h"
 #include "camphorsail/membership/vm_directory.h"
 #include "camphorsail/orders/order_store.h"
@@ -22,14 +23,16 @@
 namespace {
 
 /// Format number of a snapshot, its first field.
-constexpr uint32_t kSnapshotFormat = 3;
+constexpr uint32_t kSnapshotFormat = 4;
 /// Number of fields in a snapshot of format `kSnapshotFormat`. Each earlier
-/// format lacks the last field of the next one: 2 the quarantine, 1 the routing
-/// table too. They are still accepted, because disks may hold them.
-constexpr uint32_t kSnapshotFieldCount = 11;
+/// format lacks the last field of the next one: 3 the duties, 2 the quarantine
+/// too, 1 the routing table too. They are still accepted, because disks may
+/// hold them.
+constexpr uint32_t kSnapshotFieldCount = 12;
 /// Positions of these fields.
 constexpr size_t kRoutingField = 9;
 constexpr size_t kQuarantineField = 10;
+constexpr size_t kDutiesField = 11;
 
 template <typename T>
 T RestorePart(const msgpack::object& object) {
@@ -59,6 +62,7 @@
   VmDirectory vms;
   OrderStore orders;
   QuarantineStore quarantine;
+  DutyStore duties;
   Ref<SharedRoutingTable> routing = MakeRef<SharedRoutingTable>(RoutingTable());
 
   /// Each overload applies the body of one type of command.
@@ -84,7 +88,7 @@
              int64_t wall_micros,
              CommandResult* result);
   template <typename T>
-  void Apply(const T& order, int64_t wall_micros, CommandResult* result);
+  void Apply(const T& command, int64_t wall_micros, CommandResult* result);
 
   static void SetError(const Expected<void>& outcome, CommandResult* result) {
     // When several elements of a batch fail, the first error is reported.
@@ -162,10 +166,14 @@
 }
 
 template <typename T>
-void ControlState::Parts::Apply(const T& order,
+void ControlState::Parts::Apply(const T& command,
                                 int64_t /*wall_micros*/,
                                 CommandResult* result) {
-  SetError(orders.Apply(order), result);
+  if constexpr (requires { orders.Apply(command); }) {
+    SetError(orders.Apply(command), result);
+  } else {
+    SetError(duties.Apply(command), result);
+  }
 }
 
 ControlState::ControlState() : parts_(std::make_unique<Parts>()) {}
@@ -212,6 +220,7 @@
   PackBinary(&packer, parts_->orders.Snapshot());
   packer.pack(parts_->routing->table);
   PackBinary(&packer, parts_->quarantine.Snapshot());
+  PackBinary(&packer, parts_->duties.Snapshot());
   return std::string(buffer.data(), buffer.size());
 }
 
@@ -243,6 +252,9 @@
       state.parts_->quarantine =
           RestorePart<QuarantineStore>(parts[kQuarantineField]);
     }
+    if (parts.size() > kDutiesField) {
+      state.parts_->duties = RestorePart<DutyStore>(parts[kDutiesField]);
+    }
     return state;
   } catch (const std::exception& e) {
     return Fail(ErrorKind::kDataCorrupt,
@@ -315,6 +327,10 @@
   return parts_->quarantine;
 }
 
+const DutyStore& ControlState::duties() const {
+  return parts_->duties;
+}
+
 const Ref<SharedRoutingTable>& ControlState::routing() const {
   return parts_->routing;
 }
--- a/camphorsail/control/control_state.h
+++ b/camphorsail/control/control_state.h
@@ -18,6 +18,7 @@
 
 namespace camphorsail {
 
+class DutyStore;
 class Ledger;
 class MinuteMarks;
 class OrderStore;
@@ -27,8 +28,8 @@
 class VmDirectory;
 
 /// The replicated state machine: settings, ledger, refused minutes, VMs, engine
-/// orders and the routing table. A refused minute is a minute in which a
-/// request of an account's class was refused or failed. The state machine is
+/// orders, duties and the routing table. A refused minute is a minute in which
+/// a request of an account's class was refused or failed. The state machine is
 /// deterministic: replicas that apply the same commands in the same order have
 /// the same state. Owned by the control path; not thread-safe.
 class ControlState {
@@ -80,6 +81,7 @@
   const VmDirectory& vms() const;
   const OrderStore& orders() const;
   const QuarantineStore& quarantine() const;
+  const DutyStore& duties() const;
   /// @return The routing table in force; a table with version zero before the
   /// first one is committed.
   const Ref<SharedRoutingTable>& routing() const;
--- /dev/null
+++ b/camphorsail/duties/duty_driver.h
@@ -0,0 +1,181 @@
+#ifndef CAMPHORSAIL_DUTIES_DUTY_DRIVER_H_
+#define CAMPHORSAIL_DUTIES_DUTY_DRIVER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "camphorsail/base/ids.h"
+#include "camphorsail/base/mono_time.h"
+#include "camphorsail/duties/call_pacer.h"
+#include "camphorsail/duties/duty_commands.h"
+#include "camphorsail/duties/duty_inputs.h"
+#include "camphorsail/duties/duty_settings.h"
+#include "camphorsail/duties/duty_store.h"
+#include "camphorsail/duties/provider_call.h"
+
+namespace camphorsail {
+
+/// Decides which calls this VM makes to the provider. The leader of the group
+/// holds all duties: it claims them in the log, waits until the lease of the
+/// holder before it has ended, and acts while its own lease is valid. A usage
+/// report is agreed in the log before its first call and repeated unchanged; an
+/// order is repeated until the servers that announce themselves agree with it.
+///
+/// Owned by `ControlNode`. Not thread-safe.
+class DutyDriver {
+ public:
+  /// This VM's leadership at the time of a step.
+  struct Leadership {
+    TermNumber term;
+    /// When a quorum of voters last confirmed the leader.
+    MonoTime quorum_contact;
+  };
+  using Command =
+      std::variant<DutyClaim, UsageAgreement, UsageSettlement, OrderSettlement>;
+  /// A command for the log, with the id by which its outcome is reported.
+  struct Proposal {
+    uint64_t id = 0;
+    Command command;
+  };
+  /// An event for the log lines and the timeline.
+  struct Note {
+    std::string kind;
+    std::vector<std::pair<std::string, std::string>> inputs;
+  };
+  struct Output {
+    std::vector<Proposal> proposals;
+    std::vector<ProviderCall> calls;
+    std::vector<Note> notes;
+  };
+
+  /// @param process Distinguishes this process from earlier ones of the VM.
+  DutyDriver(const DutySettings& settings, VmId vm, Incarnation process)
+      : settings_(settings),
+        vm_(std::move(vm)),
+        process_(process),
+        pacer_(settings.provider_calls_per_s * kRateFraction) {}
+
+  void OnInputs(DutyInputs inputs) { inputs_ = std::move(inputs); }
+  /// Handles the end of a call.
+  /// @param output Resulting proposals are appended.
+  void OnCallEnded(uint64_t id,
+                   ProviderOutcome outcome,
+                   MonoTime now,
+                   Output* output);
+  /// Handles the outcome of a proposal.
+  void OnProposalAnswer(uint64_t id) { proposed_.erase(id); }
+
+  /// @return True when `Advance` must be called.
+  bool IsDue(MonoTime now) const {
+    return settings_.HasDuties() && now >= next_step_;
+  }
+  /// Decides on the next proposals and calls.
+  /// @param leadership Set only when this VM is the leader and its state
+  ///     contains all entries of earlier terms.
+  /// @param output The proposals and calls are appended.
+  void Advance(const std::optional<Leadership>& leadership,
+               const DutyStore& store,
+               MonoTime now,
+               Output* output);
+
+ private:
+  /// Time between two steps.
+  static constexpr absl::Duration kStepInterval = absl::Milliseconds(50);
+  /// Part of the provider's rate that one holder uses. Calls of an earlier
+  /// holder may still be on their way.
+  static constexpr double kRateFraction = 0.5;
+  /// Time after which a subject is tried again when the provider did not take
+  /// the call or had no such server.
+  static constexpr absl::Duration kConflictBackoff = absl::Seconds(2);
+  /// Conflicts of one subject in a row after which the duties are claimed
+  /// again, in case that the provider has seen a higher token.
+  static constexpr int kConflictsBeforeClaim = 3;
+
+  /// What this holder knows about the orders of one subject.
+  struct OrderProgress {
+    /// When the provider accepted the last order, or when this holder took it
+    /// over from an earlier one.
+    MonoTime accepted_at;
+    MonoTime not_before;
+    int conflicts = 0;
+    /// Since when the present servers have differed from the accepted order.
+    std::optional<MonoTime> differs_since;
+  };
+
+  void BeginTerm(const Leadership& leadership,
+                 const DutyStore& store,
+                 MonoTime now);
+  void Propose(Command command, Output* output);
+  /// @return True when a claim is proposed, or an agreement on the window.
+  bool IsClaimProposed() const;
+  bool IsAgreementProposed(UsageWindowNumber number) const;
+  /// Proposes the agreements on the windows that have closed.
+  void ProposeAgreements(const DutyStore& store, Output* output);
+  /// @return True when a call with another token has not ended. It might reach
+  /// the provider after a call with the current token.
+  bool HasCallWithOtherToken(DutyToken token) const;
+  /// @return The content of the next call; nothing when none is due.
+  std::optional<ProviderCall::Content> NextContent(const DutyStore& store,
+                                                   MonoTime now);
+  /// @return The next usage report to send; null when there is none.
+  const UsageWindow* NextReport(const DutyStore& store) const;
+  /// @return The next order to send, one that adds servers before one that
+  /// gives some back; nothing when there is none.
+  std::optional<ServerOrder> NextOrder(const DutyStore& store, MonoTime now);
+  /// @return The count that the provider accepted last; nothing before the
+  /// first order.
+  std::optional<int> AcceptedCount(const ServerOrderSubject& subject,
+                                   const DutyStore& store) const;
+  /// @return True when an order for the subject has to be sent.
+  bool NeedsOrder(const WantedServers& wanted,
+                  const DutyStore& store,
+                  MonoTime now);
+  bool HasCallFor(const ServerOrderSubject& subject) const;
+  void OnUsageEnded(const UsageWindow& window,
+                    DutyToken token,
+                    ProviderOutcome outcome,
+                    Output* output);
+  void OnOrderEnded(const ServerOrder& order,
+                    DutyToken token,
+                    ProviderOutcome outcome,
+                    MonoTime now,
+                    Output* output);
+
+  const DutySettings settings_;
+  const VmId vm_;
+  const Incarnation process_;
+  CallPacer pacer_;
+  DutyInputs inputs_;
+  MonoTime next_step_;
+  uint64_t next_id_ = 1;
+
+  /// The latest term in which this VM was the leader.
+  std::optional<TermNumber> term_;
+  /// From then on no call of a holder of an earlier term can begin.
+  MonoTime may_act_from_;
+  /// Highest token with which the provider turned a call away as stale. The
+  /// duties are claimed again, so that the token rises above it.
+  DutyToken rejected_token_;
+  MonoTime claimed_at_;
+  /// Proposals without an answer, by id.
+  std::map<uint64_t, Command> proposed_;
+  /// Calls that have not ended, by id.
+  std::map<uint64_t, ProviderCall> calls_;
+  /// Windows that the provider has accepted from this holder.
+  std::set<UsageWindowNumber> reported_;
+  /// Counts that the provider has accepted from this holder, by subject. Ahead
+  /// of the store until the settlement is applied.
+  std::map<ServerOrderSubject, int> ordered_;
+  std::map<ServerOrderSubject, OrderProgress> progress_;
+};
+
+}  // namespace camphorsail
+
+#endif  // CAMPHORSAIL_DUTIES_DUTY_DRIVER_H_
--- a/camphorsail/gateway/backend_fleet.cc
+++ b/camphorsail/gateway/backend_fleet.cc
@@ -125,7 +125,7 @@
   }
   auto server = MakeRef<BackendServer>();
   server->id = view.server;
-  server->hash = MixBits(Fnv1a64(view.server.value()));
+  server->hash = StableHash(view.server.value());
   server->incarnation = view.incarnation;
   server->address = *address;
   server->failure_domain = view.failure_domain;
--- a/camphorsail/gateway/exchange.h
+++ b/camphorsail/gateway/exchange.h
@@ -118,6 +118,8 @@
 
   /// The answer is complete, or the caller has disconnected.
   bool finished = false;
+  /// The request is counted as begun, see `UsageMeter`.
+  bool is_counted = false;
   /// A streamed answer has begun.
   bool streaming = false;
   /// Id of the last event that the caller has received.
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -26,10 +26,6 @@
 /// Separates the random numbers for the choice of route targets from those of
 /// the placement, which has the same seed. ASCII "route".
 constexpr uint64_t kTargetChoiceSeedMask = 0x726f757465;
-/// @return Hash of a service's name that is equal at all gateways.
-uint64_t StableHash(const ModelId& service) {
-  return MixBits(Fnv1a64(service.value()));
-}
 
 constexpr char kMetricsPath[] = "/metrics";
 constexpr absl::Duration kHousekeepingInterval = absl::Seconds(1);
@@ -63,6 +59,7 @@
                [this](const Ref<BackendServer>& server, bool ended) {
                  OnServerChecked(server, ended);
                }),
+      usage_(settings.usage),
       random_(settings.seed ^ kTargetChoiceSeedMask) {}
 
 Gateway::~Gateway() {
@@ -502,7 +499,7 @@
   std::vector<ServiceAdmissionState> states;
   for (const auto& [service, model] : models_) {
     ServiceAdmissionState state = model.admission().OwnState(loop_->now());
-    state.service = StableHash(service);
+    state.service = StableHash(service.value());
     if (!state.late.IsEmpty() || !state.started.IsEmpty()) {
       states.push_back(state);
     }
@@ -513,7 +510,7 @@
 void Gateway::OnAdmissionStates(
     const std::vector<ServiceAdmissionState>& states) {
   for (auto& [service, model] : models_) {
-    const uint64_t hash = StableHash(service);
+    const uint64_t hash = StableHash(service.value());
     for (const ServiceAdmissionState& state : states) {
       if (state.service == hash) {
         model.admission().OnFleetState(state, loop_->now());
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -28,6 +28,8 @@
 #include "camphorsail/placement/service_model.h"
 #include "camphorsail/quarantine/part_quarantine.h"
 #include "camphorsail/routing/route_index.h"
+#include "camphorsail/usage/true_clock.h"
+#include "camphorsail/usage/usage_meter.h"
 
 namespace camphorsail {
 
@@ -63,6 +65,11 @@
   }
   BackendFleet& fleet() { return fleet_; }
   RefusalOutbox& refusals() { return refusals_; }
+  UsageMeter& usage() { return usage_; }
+  /// Takes the true time that a replica tells, see `TrueClock`.
+  void OnTrueTime(const VmId& replica, absl::Time time) {
+    true_clock_.OnReading(replica, time, loop_->now());
+  }
   /// Limits retries by these settings from now on.
   void SetRetrySettings(const GatewayRetryBudgetSettings& settings);
   /// @return What the other gateways need to know about overloaded services.
@@ -198,6 +205,8 @@
   /// Updates the server's load and health when the first event or the whole
   /// answer has arrived, which means that the prompt has been read.
   void RecordFirstAnswer(Exchange* exchange);
+  /// Counts the request as begun, unless it is counted already.
+  void CountUsage(Exchange* exchange);
   /// Forwards the complete events of a stream to the caller.
   void ForwardEvents(Exchange* exchange, std::string_view data);
   /// Records a new request in the model of its service, and adds its expected
@@ -295,6 +304,8 @@
   absl::flat_hash_map<const BackendServer*, std::vector<HeldRequest>> held_;
   uint64_t last_exchange_ = 0;
   RefusalOutbox refusals_;
+  UsageMeter usage_;
+  TrueClock true_clock_;
   absl::flat_hash_map<ModelId, ServiceModel> models_;
   Random random_;
   /// The routing table in use; null until there is one.
--- a/camphorsail/gateway/gateway_answer.cc
+++ b/camphorsail/gateway/gateway_answer.cc
@@ -145,6 +145,7 @@
   if (std::exchange(attempt.has_answer, true)) {
     return;
   }
+  CountUsage(exchange);
   const MonoTime now = loop_->now();
   attempt.first = now - attempt.started_at;
   if (exchange->wait == absl::ZeroDuration()) {
@@ -174,6 +175,14 @@
   }
 }
 
+void Gateway::CountUsage(Exchange* exchange) {
+  if (!settings_.usage.IsCounted() || exchange->account.value().empty() ||
+      std::exchange(exchange->is_counted, true)) {
+    return;
+  }
+  usage_.OnRequestBegun(exchange->account, true_clock_.At(loop_->now()));
+}
+
 void Gateway::ForwardEvents(Exchange* exchange, std::string_view data) {
   ExchangeAttempt& attempt = *exchange->attempt;
   const uint64_t before = attempt.events.count();
@@ -277,6 +286,7 @@
       RecordSettled(exchange);
     }
   } else {
+    CountUsage(exchange);
     RecordFailure(attempt.server.get(), absl::StrCat("status_", status),
                   /*unreachable=*/false);
   }
@@ -368,6 +378,11 @@
   ExchangeAttempt& attempt = *exchange->attempt;
   const bool rejected = attempt.reply.not_run;
   if (may_have_run) {
+    // An attempt that broke off later than its first token was expected has
+    // most likely begun to run.
+    if (!timed_out && now - attempt.started_at >= attempt.expected) {
+      CountUsage(exchange);
+    }
     ++exchange->possible_runs;
     RecordFailure(attempt.server.get(), failure, /*unreachable=*/false);
   }
--- a/camphorsail/gateway/gateway_group_load.h
+++ b/camphorsail/gateway/gateway_group_load.h
@@ -23,8 +23,11 @@
   /// What these gateways together know about overloaded services.
   std::vector<ServiceAdmissionState> admission;
   QuarantineReport quarantine;
+  /// Wall clock of the replica, in microseconds since the Unix epoch, see
+  /// `TrueClock`; zero when it does not count usage.
+  int64_t wall_micros = 0;
 
-  MSGPACK_DEFINE(gateways, loads, demand, admission, quarantine)
+  MSGPACK_DEFINE(gateways, loads, demand, admission, quarantine, wall_micros)
 };
 
 }  // namespace camphorsail
--- a/camphorsail/gateway/gateway_poll.h
+++ b/camphorsail/gateway/gateway_poll.h
@@ -9,6 +9,7 @@
 #include "camphorsail/placement/gateway_server_load.h"
 #include "camphorsail/placement/service_admission_state.h"
 #include "camphorsail/quarantine/quarantine_report.h"
+#include "camphorsail/usage/usage_count.h"
 
 namespace camphorsail {
 
@@ -30,6 +31,8 @@
   /// What this gateway knows about overloaded services.
   std::vector<ServiceAdmissionState> admission;
   QuarantineReport quarantine;
+  /// Counts that changed since an answered poll carried them, see `UsageMeter`.
+  std::vector<UsageCount> usage;
 
   MSGPACK_DEFINE(token,
                  table_version,
@@ -37,9 +40,19 @@
                  demand,
                  refusals,
                  admission,
-                 quarantine)
+                 quarantine,
+                 usage)
 };
 
+/// The bits of a poll's token above these identify the start of the gateway's
+/// process.
+inline constexpr int kPollProcessShift = 32;
+
+/// @return Identifies the start of the gateway's process.
+inline uint64_t ProcessOf(const GatewayPoll& poll) {
+  return poll.token >> kPollProcessShift;
+}
+
 }  // namespace camphorsail
 
 #endif  // CAMPHORSAIL_GATEWAY_GATEWAY_POLL_H_
--- a/camphorsail/gateway/gateway_settings.h
+++ b/camphorsail/gateway/gateway_settings.h
@@ -9,6 +9,7 @@
 #include "camphorsail/gateway/caller_budget.h"
 #include "camphorsail/placement/gateway_retry_budget.h"
 #include "camphorsail/placement/placement_settings.h"
+#include "camphorsail/usage/usage_settings.h"
 
 namespace camphorsail {
 
@@ -25,6 +26,7 @@
   BackendConnectionPoolSettings pool;
   PlacementSettings placement;
   GatewayRetryBudgetSettings retries;
+  UsageSettings usage;
   /// Seed of the random choices.
   uint64_t seed = 1;
 };
--- a/camphorsail/gateway/gateway_update.h
+++ b/camphorsail/gateway/gateway_update.h
@@ -44,6 +44,9 @@
   std::vector<ServiceAdmissionState> admission;
   /// Only in the answer to a poll.
   QuarantineUpdate quarantine;
+  /// True time when the update was sent, in microseconds since the Unix epoch;
+  /// zero when the replica does not count usage.
+  int64_t true_micros = 0;
 
   MSGPACK_DEFINE(token,
                  confirmed,
@@ -55,7 +58,8 @@
                  demand,
                  deltas,
                  admission,
-                 quarantine)
+                 quarantine,
+                 true_micros)
 };
 
 }  // namespace camphorsail
--- a/camphorsail/peer/peer_message.h
+++ b/camphorsail/peer/peer_message.h
@@ -29,6 +29,8 @@
   kGatewayUpdate = 10,
   /// Sent between replicas: the load of the gateways that poll the sender.
   kGatewayGroupLoad = 11,
+  /// Sent to the replica that reports usage: counts of gateways.
+  kUsage = 12,
 };
 
 /// One message between daemons.
--- a/camphorsail/routing/scaling_profile.h
+++ b/camphorsail/routing/scaling_profile.h
@@ -2,13 +2,23 @@
 #define CAMPHORSAIL_ROUTING_SCALING_PROFILE_H_
 
 #include <cstdint>
-#include <map>
+#include <vector>
 
 #include "camphorsail/base/ids.h"
 #include "camphorsail/base/msgpack_strong_id.h"
 
 namespace camphorsail {
 
+/// Price of a regular server in one failure domain, in any unit.
+struct FailureDomainPrice {
+  FailureDomainId failure_domain;
+  double price = 0;
+
+  friend bool operator==(const FailureDomainPrice&,
+                         const FailureDomainPrice&) = default;
+  MSGPACK_DEFINE(failure_domain, price)
+};
+
 /// How the number of servers of a service may be changed by orders to the
 /// provider.
 struct ScalingProfile {
@@ -23,8 +33,8 @@
   /// Price of a reclaimable server as a fraction of that of a regular one; zero
   /// when there are none.
   double reclaimable_price = 0;
-  /// Price of a server by failure domain, in any unit.
-  std::map<FailureDomainId, double> prices;
+  /// The failure domains in which the provider has servers.
+  std::vector<FailureDomainPrice> prices;
 
   friend bool operator==(const ScalingProfile&,
                          const ScalingProfile&) = default;
--- a/camphorsail/runtime/control_runtime.cc
+++ b/camphorsail/runtime/control_runtime.cc
@@ -285,6 +285,10 @@
   hooks_.call_engine(action);
 }
 
+void ControlRuntime::Execute(const ProviderCallAction& action) {
+  hooks_.call_provider(action);
+}
+
 void ControlRuntime::Execute(const ControlTimelineAction& action) {
   hooks_.note(action);
 }
--- a/camphorsail/runtime/control_runtime.h
+++ b/camphorsail/runtime/control_runtime.h
@@ -101,6 +101,7 @@
   void Execute(const ReadAnsweredAction& action);
   void Execute(const LeaveCompletedAction& action);
   void Execute(const EngineCallAction& action);
+  void Execute(const ProviderCallAction& action);
   void Execute(const ControlTimelineAction& action);
   void Execute(const PublishLimitsAction& action);
   void Execute(const PublishRoutingAction& action);
--- a/camphorsail/runtime/control_runtime_hooks.h
+++ b/camphorsail/runtime/control_runtime_hooks.h
@@ -18,6 +18,8 @@
   std::function<void(const LedgerOpenAnsweredAction&)> ledger_answer;
   /// The result is posted as an `EngineCallResultEvent`.
   std::function<void(const EngineCallAction&)> call_engine;
+  /// The result is posted as a `ProviderCallEndedEvent`.
+  std::function<void(const ProviderCallAction&)> call_provider;
   std::function<void(const ControlTimelineAction&)> note;
   std::function<void(const Ref<SharedRoutingTable>&)> publish_routing;
   /// A write to the disk failed for good. Nothing may be acknowledged any more,
--- a/camphorsail/runtime/daemon.cc
+++ b/camphorsail/runtime/daemon.cc
@@ -102,6 +102,11 @@
     settings.replica.snapshot_after_bytes = kSnapshotAfterBytes;
     settings.replica.retained_entries = kRetainedEntries;
   }
+  settings.duties.reports_usage = options.provider_duties.usage;
+  settings.duties.orders_servers = options.provider_duties.server_orders;
+  settings.duties.lease = options.duty_lease;
+  settings.duties.provider_checks_tokens = options.provider_checks_fencing;
+  settings.duties.provider_calls_per_s = options.provider_calls_per_s;
   settings.registration.vm = options.vm;
   settings.registration.incarnation =
       Incarnation(static_cast<uint64_t>(absl::ToUnixMicros(WallNow())));
@@ -116,7 +121,7 @@
 
 }  // namespace
 
-Daemon::Daemon(const Options& options)
+Daemon::Daemon(const Options& options, const ProviderDialect& provider)
     : options_(options),
       timeline_(kTimelineEvents),
       telemetry_(options.vm, &clock_, &timeline_, &metrics_),
@@ -131,6 +136,8 @@
                    return peers_->Send(to, std::move(message)) ==
                           PeerSendResult::kQueued;
                  }),
+      provider_dialect_(provider),
+      duty_feed_(options),
       gateways_({[this](ControlRuntime::CurrentCallback callback) {
                    control_->WhenCurrent(std::move(callback));
                  },
@@ -140,16 +147,24 @@
                    message.payload = PackBytes(update);
                    SendTo(gateway, std::move(message));
                  },
-                 [] { return MonotonicNow(); }}) {
+                 [] { return MonotonicNow(); },
+                 [this] {
+                   return duty_feed_.CountsUsage()
+                              ? absl::ToUnixMicros(
+                                    duty_feed_.TrueTime(MonotonicNow()))
+                              : 0;
+                 }}) {
   SetLogClock([this](absl::Time now) { return clock_.Now(now); });
 }
 
-Expected<std::unique_ptr<Daemon>> Daemon::Create(const Options& options) {
+Expected<std::unique_ptr<Daemon>> Daemon::Create(
+    const Options& options,
+    const ProviderDialect& provider) {
   if (Expected<void> valid = MakeSchedulerSettings(options).Validate();
       !valid) {
     return tl::unexpected<Error>(valid.error());
   }
-  std::unique_ptr<Daemon> daemon(new Daemon(options));
+  std::unique_ptr<Daemon> daemon(new Daemon(options, provider));
   if (options.roles.entry) {
     EntryShardSettings shard_settings;
     shard_settings.body_timeout = options.body_timeout;
@@ -189,6 +204,7 @@
   operators_.reset();
   announcements_.reset();
   order_sender_.reset();
+  provider_sender_.reset();
   SetLogClock({});
 }
 
@@ -201,6 +217,15 @@
       [this](EngineCallResultEvent result) {
         control_->Post(std::move(result));
       });
+  if (options_.provider.port != 0 &&
+      provider_dialect_.write_request != nullptr) {
+    provider_sender_ = std::make_unique<ProviderSender>(
+        options_.provider, provider_dialect_,
+        [this](const ProviderCall& call, ProviderOutcome outcome) {
+          duty_feed_.OnCallEnded(call, outcome, MonotonicNow());
+          control_->Post(ProviderCallEndedEvent{call.id, outcome});
+        });
+  }
   Expected<std::unique_ptr<ControlRuntime>> control = ControlRuntime::Create(
       MakeControlSettings(options_), options_.data_folder, RandomSeed(),
       MakeControlHooks());
@@ -316,6 +341,9 @@
   hooks.call_engine = [this](const EngineCallAction& action) {
     order_sender_->Call(action);
   };
+  hooks.call_provider = [this](const ProviderCallAction& action) {
+    CallProvider(action.call);
+  };
   hooks.note = [this](const ControlTimelineAction& action) {
     telemetry_.Record(action.kind, action.inputs);
   };
@@ -408,16 +436,30 @@
                                         static_cast<ErrorKind>(report.kind)});
           }
         }
+        if (duty_feed_.CountsUsage()) {
+          duty_feed_.OnGatewayUsage({from, ProcessOf(*poll), poll->usage}, now);
+        }
         gateways_.OnPoll(from, *poll);
       }
       return;
     }
     case PeerChannel::kGatewayGroupLoad: {
       if (auto load = UnpackBytes<GatewayGroupLoad>(message.payload)) {
+        if (load->wall_micros != 0) {
+          duty_feed_.OnClock(from, absl::FromUnixMicros(load->wall_micros),
+                             now);
+        }
         gateways_.OnGroupLoad(from, *std::move(load));
       }
       return;
     }
+    case PeerChannel::kUsage: {
+      if (const auto usages =
+              UnpackBytes<std::vector<GatewayUsage>>(message.payload)) {
+        duty_feed_.OnReplicaUsage(*usages, now);
+      }
+      return;
+    }
     case PeerChannel::kTimeline:
       collector_.OnMessage(from, message.payload);
       return;
@@ -524,6 +566,7 @@
       if (!options_.seeds.empty()) {
         RemoveUnreachablePeers(now);
         ShareGatewayLoad(now);
+        StepDuties(now);
       }
     }
     if (entry_ == nullptr) {
--- a/camphorsail/runtime/daemon.h
+++ b/camphorsail/runtime/daemon.h
@@ -19,8 +19,11 @@
 #include "camphorsail/process/metrics.h"
 #include "camphorsail/process/options.h"
 #include "camphorsail/runtime/control_runtime.h"
+#include "camphorsail/runtime/duty_feed.h"
 #include "camphorsail/runtime/gateway_sessions.h"
 #include "camphorsail/runtime/order_sender.h"
+#include "camphorsail/runtime/provider_dialect.h"
+#include "camphorsail/runtime/provider_sender.h"
 #include "camphorsail/runtime/replica_gauges.h"
 #include "camphorsail/runtime/request_telemetry.h"
 #include "camphorsail/runtime/server_directory.h"
@@ -36,10 +39,14 @@
 class Daemon {
  public:
   /// @param options Checked settings.
+  /// @param provider Translation of the calls to the provider; needed only when
+  /// the settings contain its address.
   /// @return The running daemon. Errors: `kSettingsInvalid`, `kInvalidRequest`
   /// or `kInternal` for an address that cannot be used, `kDataCorrupt` or
   /// `kStorageFailed` for the data folder.
-  static Expected<std::unique_ptr<Daemon>> Create(const Options& options);
+  static Expected<std::unique_ptr<Daemon>> Create(
+      const Options& options,
+      const ProviderDialect& provider = {});
   ~Daemon();
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
@@ -88,7 +95,7 @@
   bool stop_requested() const { return stop_requested_; }
 
  private:
-  explicit Daemon(const Options& options);
+  Daemon(const Options& options, const ProviderDialect& provider);
 
   Expected<void> StartControl();
   Expected<void> StartPeers();
@@ -115,6 +122,10 @@
   void SendTo(const VmId& to, PeerMessage message);
   /// Sends the other replicas the load of the gateways that poll this replica.
   void ShareGatewayLoad(MonoTime now);
+  /// Forwards usage counts to the leader, or, on the leader, tells the control
+  /// path what the duties ask for.
+  void StepDuties(MonoTime now);
+  void CallProvider(const ProviderCall& call);
   /// Removes peers that have been unreachable for a long time.
   void RemoveUnreachablePeers(MonoTime now);
   void OnPeerMessage(const VmId& from, PeerMessage message);
@@ -139,7 +150,11 @@
   std::unique_ptr<EntryRuntime<Scheduler>> entry_;
   std::unique_ptr<ControlRuntime> control_;
   std::unique_ptr<OrderSender> order_sender_;
+  const ProviderDialect provider_dialect_;
+  /// Null without a provider.
+  std::unique_ptr<ProviderSender> provider_sender_;
   std::unique_ptr<PeerTransport> peers_;
+  DutyFeed duty_feed_;
   GatewaySessions gateways_;
   std::unique_ptr<AdminApi> admin_api_;
   RouteTable health_routes_;
@@ -150,6 +165,7 @@
   /// Null without a separate address for metrics.
   std::unique_ptr<RouteServer> metrics_server_;
   MonoTime next_group_load_;
+  MonoTime next_duty_step_;
   /// Time since which each peer has not been connected. Used on the tick
   /// thread.
   std::map<VmId, MonoTime> unreachable_since_;
--- a/camphorsail/runtime/daemon_platform.cc
+++ b/camphorsail/runtime/daemon_platform.cc
@@ -4,6 +4,7 @@
 
 #include "camphorsail/base/msgpack_bytes.h"
 #include "camphorsail/base/wall_clock.h"
+#include "camphorsail/duties/duty_store.h"
 #include "camphorsail/process/log_event.h"
 #include "camphorsail/runtime/daemon.h"
 
@@ -16,6 +17,7 @@
 // when it connects or when a message is sent to it.
 constexpr absl::Duration kPeerRemovalDelay = absl::Seconds(20);
 constexpr int kPlatformWorkers = 12;
+constexpr absl::Duration kDutyStepInterval = absl::Milliseconds(500);
 
 }  // namespace
 
@@ -85,7 +87,12 @@
     return;
   }
   next_group_load_ = now + GatewaySessions::kGroupLoadInterval;
-  const GatewayGroupLoad load = gateways_.GroupLoad();
+  GatewayGroupLoad load = gateways_.GroupLoad();
+  if (duty_feed_.CountsUsage()) {
+    const absl::Time wall_now = WallNow();
+    duty_feed_.OnClock(options_.vm, wall_now, now);
+    load.wall_micros = absl::ToUnixMicros(wall_now);
+  }
   std::vector<VmId> replicas;
   std::vector<QuarantineChange> changes;
   control_->Inspect([&](const ControlNode& node) {
@@ -114,6 +121,57 @@
   }
 }
 
+void Daemon::StepDuties(MonoTime now) {
+  const ProviderDuties& duties = options_.provider_duties;
+  if ((!duties.usage && !duties.server_orders) || now < next_duty_step_) {
+    return;
+  }
+  next_duty_step_ = now + kDutyStepInterval;
+  VmId leader;
+  bool is_leader = false;
+  DutyStore store;
+  Ref<SharedRoutingTable> table;
+  control_->Inspect([&](const ControlNode& node) {
+    leader = node.replica().LeaderHint();
+    is_leader = node.replica().role() == ReplicaRole::kLeader;
+    if (is_leader) {
+      store = node.state().duties();
+      table = node.state().routing();
+    }
+  });
+  if (!is_leader) {
+    duty_feed_.OnNotLeading();
+    if (!duties.usage || leader.value().empty()) {
+      return;
+    }
+    const std::vector<GatewayUsage> usages =
+        duty_feed_.UsageToForward(leader, now);
+    if (!usages.empty()) {
+      PeerMessage message;
+      message.channel = PeerChannel::kUsage;
+      message.payload = PackBytes(usages);
+      message.replaceable = true;
+      SendTo(leader, std::move(message));
+    }
+    return;
+  }
+  const GatewayGroupLoad load = gateways_.TotalLoad();
+  DutyInputs inputs;
+  directory_.Inspect([&](const ServerRegistry& registry) {
+    inputs = duty_feed_.MakeInputs(registry, table->table, store, load, now);
+  });
+  control_->Post(DutyInputsEvent{std::move(inputs)});
+}
+
+void Daemon::CallProvider(const ProviderCall& call) {
+  if (provider_sender_ == nullptr) {
+    LogEvent("provider_unknown", LogLevel::kError);
+    control_->Post(ProviderCallEndedEvent{call.id, ProviderOutcome::kNotSent});
+    return;
+  }
+  provider_sender_->Call(call);
+}
+
 void Daemon::RemoveUnreachablePeers(MonoTime now) {
   for (const PeerStats& peer : peers_->Stats()) {
     if (peer.outbound_connected) {
--- /dev/null
+++ b/camphorsail/runtime/duty_feed.cc
@@ -0,0 +1,191 @@
+#include "camphorsail/runtime/duty_feed.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+#include <variant>
+
+#include "absl/container/flat_hash_map.h"
+#include "camphorsail/base/fnv_hash.h"
+#include "camphorsail/process/log_event.h"
+
+namespace camphorsail {
+namespace {
+
+constexpr double kMsPerSecond = 1000;
+
+UsageSettings MakeUsageSettings(const Options& options) {
+  UsageSettings settings;
+  settings.window = options.usage_window;
+  settings.report_delay = options.usage_report_delay;
+  return settings;
+}
+
+/// Adds a server to the supply of its failure domain.
+void AddServer(const ServerAnnouncement& announcement,
+               bool is_available,
+               DomainSupply* supply) {
+  if (!announcement.description.reclaimable) {
+    supply->regular += is_available ? 1 : 0;
+  } else if (is_available) {
+    ++supply->reclaimable;
+  } else if (announcement.leaving) {
+    ++supply->reclaimable_leaving;
+  }
+}
+
+}  // namespace
+
+DutyFeed::DutyFeed(const Options& options)
+    : duties_(options.provider_duties),
+      usage_settings_(MakeUsageSettings(options)),
+      usage_(usage_settings_) {}
+
+void DutyFeed::OnGatewayUsage(const GatewayUsage& usage, MonoTime now) {
+  absl::MutexLock lock(&mutex_);
+  usage_.Merge(usage, now);
+}
+
+void DutyFeed::OnReplicaUsage(const std::vector<GatewayUsage>& usages,
+                              MonoTime now) {
+  absl::MutexLock lock(&mutex_);
+  for (const GatewayUsage& usage : usages) {
+    usage_.Merge(usage, now);
+  }
+}
+
+void DutyFeed::OnClock(const VmId& vm, absl::Time wall, MonoTime now) {
+  absl::MutexLock lock(&mutex_);
+  clock_.OnReading(vm, wall, now);
+}
+
+absl::Time DutyFeed::TrueTime(MonoTime now) {
+  absl::MutexLock lock(&mutex_);
+  return clock_.At(now);
+}
+
+std::vector<GatewayUsage> DutyFeed::UsageToForward(const VmId& leader,
+                                                   MonoTime now) {
+  absl::MutexLock lock(&mutex_);
+  if (std::exchange(forwarded_to_, leader) != leader) {
+    return usage_.AllCounts();
+  }
+  return usage_.RecentChanges(now);
+}
+
+std::vector<UsageWindow> DutyFeed::CloseWindows(MonoTime now) {
+  if (!usage_settings_.IsCounted() || !duties_.usage ||
+      now - *leading_since_ < kCollectTime) {
+    return {};
+  }
+  std::vector<UsageWindow> closed = usage_.ClosedWindows(clock_.At(now));
+  for (const UsageCollector::LateCount& late : usage_.TakeLateCounts()) {
+    LogEvent("usage_late", LogLevel::kWarning)
+        .Add("window", late.window.value())
+        .Add("account", late.account)
+        .Add("requests", late.requests);
+  }
+  return closed;
+}
+
+DutyInputs DutyFeed::MakeInputs(const ServerRegistry& registry,
+                                const RoutingTable& table,
+                                const DutyStore& store,
+                                const GatewayGroupLoad& load,
+                                MonoTime now) {
+  absl::MutexLock lock(&mutex_);
+  if (!leading_since_.has_value()) {
+    leading_since_ = now;
+    planner_.emplace(CapacityPlannerSettings());
+  }
+  DutyInputs inputs;
+  inputs.closed_windows = CloseWindows(now);
+  if (duties_.server_orders && load.gateways > 0) {
+    inputs.wanted_servers = PlanServers(registry, table, store, load, now);
+  }
+  return inputs;
+}
+
+std::vector<WantedServers> DutyFeed::PlanServers(const ServerRegistry& registry,
+                                                 const RoutingTable& table,
+                                                 const DutyStore& store,
+                                                 const GatewayGroupLoad& load,
+                                                 MonoTime now) {
+  std::map<ModelId, ServiceCapacity> services;
+  for (const ServiceProfile& service : table.services) {
+    if (!service.scaling.enabled) {
+      continue;
+    }
+    ServiceCapacity& capacity = services[service.name];
+    capacity.service = service.name;
+    capacity.scaling = service.scaling;
+    for (const FailureDomainPrice& price : service.scaling.prices) {
+      capacity.domains[price.failure_domain];
+    }
+  }
+  absl::flat_hash_map<uint64_t, uint32_t> in_flight;
+  for (const GatewayServerLoad& server : load.loads) {
+    in_flight[server.server] = server.in_flight;
+  }
+  double all_engines_occupied = 0;
+  for (const auto& [id, entry] : registry.entries()) {
+    const ServerDescription& description = entry.announcement.description;
+    const auto found = in_flight.find(StableHash(id.value()));
+    const double occupied = found == in_flight.end()
+                                ? 0
+                                : found->second / static_cast<double>(std::max(
+                                                      1, description.capacity));
+    if (description.kind == ServerKind::kModelEngine) {
+      all_engines_occupied += occupied;
+    }
+    for (const ModelId& target : description.targets) {
+      const auto service = services.find(target);
+      if (service == services.end()) {
+        continue;
+      }
+      service->second.occupied += occupied;
+      AddServer(entry.announcement, registry.IsAvailable(id, now),
+                &service->second.domains[description.failure_domain]);
+    }
+  }
+  for (const auto& [subject, order] : store.orders()) {
+    const auto service = services.find(subject.service);
+    if (service != services.end() &&
+        subject.tenure == ServerTenure::kReclaimable) {
+      service->second.ordered_reclaimable += order.count;
+    }
+  }
+  // Gateways share one figure for the work of all engines; each service's part
+  // is taken to be its part of the occupied slots.
+  const double work =
+      (load.demand.interactive + load.demand.bulk) / kMsPerSecond;
+  std::vector<WantedServers> wanted;
+  for (auto& [name, capacity] : services) {
+    if (all_engines_occupied > 0) {
+      capacity.arriving_work = work * capacity.occupied / all_engines_occupied;
+    }
+    for (WantedServers& servers : planner_->Plan(capacity, now)) {
+      wanted.push_back(std::move(servers));
+    }
+  }
+  return wanted;
+}
+
+void DutyFeed::OnCallEnded(const ProviderCall& call,
+                           ProviderOutcome outcome,
+                           MonoTime now) {
+  absl::MutexLock lock(&mutex_);
+  const auto* order = std::get_if<ServerOrder>(&call.content);
+  if (order != nullptr && outcome == ProviderOutcome::kConflict &&
+      planner_.has_value()) {
+    planner_->OnShortage(order->subject, now);
+  }
+}
+
+void DutyFeed::OnNotLeading() {
+  absl::MutexLock lock(&mutex_);
+  planner_.reset();
+  leading_since_.reset();
+}
+
+}  // namespace camphorsail
--- a/camphorsail/runtime/gateway_daemon.cc
+++ b/camphorsail/runtime/gateway_daemon.cc
@@ -60,6 +60,7 @@
                                                options.descriptor_limit);
   settings.answers = AnswerBudgetSettings::For(options.memory_limit_bytes);
   settings.retries = MakeRetrySettings(options);
+  settings.usage.window = options.usage_window;
   settings.seed = RandomSeed();
   return settings;
 }
@@ -224,14 +225,22 @@
   message.channel = PeerChannel::kGatewayPoll;
   const MonoTime now = loop_.now();
   const uint64_t token = lease_.OnPoll(now);
-  message.payload = PackBytes(
-      GatewayPoll{token, table_version_, gateway_.fleet().TakeLoads(now),
-                  gateway_.Demand(), gateway_.refusals().Take(token),
-                  gateway_.AdmissionStates(), gateway_.QuarantineState()});
+  message.payload = PackBytes(GatewayPoll{
+      token, table_version_, gateway_.fleet().TakeLoads(now), gateway_.Demand(),
+      gateway_.refusals().Take(token), gateway_.AdmissionStates(),
+      gateway_.QuarantineState(), TakeUsage(to, token)});
   message.replaceable = true;
   peers_->Send(to, std::move(message));
 }
 
+std::vector<UsageCount> GatewayDaemon::TakeUsage(const VmId& to,
+                                                 uint64_t token) {
+  if (std::exchange(usage_replica_, to) != to) {
+    gateway_.usage().ReportAll();
+  }
+  return gateway_.usage().TakeReport(token);
+}
+
 void GatewayDaemon::SendDigest(const VmId& to) {
   PeerMessage message;
   message.channel = PeerChannel::kServerDigest;
@@ -284,6 +293,10 @@
   if (update.token != 0) {
     last_answer_at_ = loop_.now();
     gateway_.refusals().OnAnswered(update.token);
+    gateway_.usage().OnAnswered(update.token);
+    if (update.true_micros != 0) {
+      gateway_.OnTrueTime(from, absl::FromUnixMicros(update.true_micros));
+    }
     gateway_.fleet().OnOtherGatewaysLoads(update.loads, loop_.now());
     gateway_.SetTotalDemand(update.demand);
     gateway_.OnAdmissionStates(update.admission);
--- a/camphorsail/runtime/gateway_daemon.h
+++ b/camphorsail/runtime/gateway_daemon.h
@@ -51,6 +51,8 @@
   /// Asks a replica to confirm the routing table.
   void Poll();
   void SendPoll(const VmId& to);
+  /// @return The counts that a poll to the replica carries.
+  std::vector<UsageCount> TakeUsage(const VmId& to, uint64_t token);
   /// Sends the digest of the registry to a replica, which answers with the
   /// servers that the registry lacks.
   void SendDigest(const VmId& to);
@@ -82,6 +84,8 @@
   std::vector<VmId> replicas_;
   /// Index into `replicas_` of the replica that is polled.
   size_t polled_replica_ = 0;
+  /// The replica that has taken the latest usage counts.
+  VmId usage_replica_;
   /// When that replica last answered a poll, or was first polled.
   MonoTime last_answer_at_;
   size_t next_digest_replica_ = 0;
--- a/camphorsail/runtime/gateway_sessions.cc
+++ b/camphorsail/runtime/gateway_sessions.cc
@@ -8,9 +8,6 @@
 namespace camphorsail {
 namespace {
 
-/// The bits of a poll's token above these identify the start of the gateway's
-/// process.
-constexpr int kProcessShift = 32;
 /// Time for which the evidence is sent to the other replicas after one of them
 /// had other evidence. Covers a few lost messages.
 constexpr absl::Duration kEvidenceShareTime = absl::Seconds(1);
@@ -51,8 +48,7 @@
   {
     absl::MutexLock lock(&mutex_);
     Session& session = sessions_[from];
-    if (const uint64_t process = poll.token >> kProcessShift;
-        session.process != process) {
+    if (const uint64_t process = ProcessOf(poll); session.process != process) {
       session = Session();
       session.process = process;
     }
@@ -137,6 +133,7 @@
   for (const auto& [gateway, poll] : polls) {
     GatewayUpdate answer = update;
     answer.token = poll.token;
+    answer.true_micros = hooks_.true_micros();
     GatewayServerLoadSum others = all;
     if (const auto own = own_loads.find(gateway); own != own_loads.end()) {
       others.Subtract(own->second);
@@ -180,6 +177,20 @@
   return load;
 }
 
+GatewayGroupLoad GatewaySessions::TotalLoad() {
+  absl::MutexLock lock(&mutex_);
+  GatewayGroupLoad total = OwnLoad();
+  GatewayServerLoadSum sum;
+  sum.Add(total.loads);
+  for (const auto& [replica, replica_load] : replica_loads_) {
+    total.gateways += replica_load.load.gateways;
+    total.demand += replica_load.load.demand;
+    sum.Add(replica_load.load.loads);
+  }
+  total.loads = sum.Loads();
+  return total;
+}
+
 std::vector<CrashRecord> GatewaySessions::CrashRecords() {
   absl::MutexLock lock(&mutex_);
   evidence_.Expire(hooks_.now());
--- a/camphorsail/runtime/gateway_sessions.h
+++ b/camphorsail/runtime/gateway_sessions.h
@@ -34,6 +34,8 @@
     std::function<void(ControlRuntime::CurrentCallback)> when_current;
     std::function<void(const VmId& gateway, const GatewayUpdate&)> send;
     std::function<MonoTime()> now;
+    /// See `GatewayUpdate::true_micros`.
+    std::function<int64_t()> true_micros;
   };
 
   explicit GatewaySessions(Hooks hooks) : hooks_(std::move(hooks)) {}
@@ -44,6 +46,9 @@
   void OnGroupLoad(const VmId& replica, GatewayGroupLoad load);
   /// @return The load to send to the other replicas every `kGroupLoadInterval`.
   GatewayGroupLoad GroupLoad();
+  /// @return The load of all gateways, of those that poll other replicas as far
+  /// as these have reported it recently.
+  GatewayGroupLoad TotalLoad();
 
   /// @return The changes of the quarantine that the gateways ask for and that
   /// are not in the list. The same change is not returned again for some time.
--- a/camphorsail/scaling/server_order.h
+++ b/camphorsail/scaling/server_order.h
@@ -18,6 +18,11 @@
   kReclaimable,
 };
 
+/// @return The name of the tenure in logs and for operators.
+constexpr const char* ToString(ServerTenure tenure) {
+  return tenure == ServerTenure::kRegular ? "regular" : "reclaimable";
+}
+
 /// What an order for servers is about: the servers of one service and tenure in
 /// one failure domain.
 struct ServerOrderSubject {
--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -15,6 +15,7 @@
 #include "camphorsail/runtime/daemon.h"
 #include "camphorsail/runtime/gateway_daemon.h"
 #include "platform/control_routes.h"
+#include "platform/provider_calls.h"
 #include "platform/wire_dialect.h"
 
 namespace camphorsail {
@@ -49,7 +50,8 @@
               const SettingsReloader& reloader,
               SignalWatcher* signals) {
   curl_global_init(CURL_GLOBAL_DEFAULT);
-  Expected<std::unique_ptr<Daemon>> daemon = Daemon::Create(options);
+  Expected<std::unique_ptr<Daemon>> daemon =
+      Daemon::Create(options, platform::MakeProviderDialect());
   if (!daemon) {
     std::cerr << "error: " << daemon.error().message << "\n";
     return 1;
