--- a/tests/unit/runtime/gateway_sessions_test.cc
+++ b/tests/unit/runtime/gateway_sessions_test.cc
@@ -22,7 +22,8 @@
                        [this](const VmId&, const GatewayUpdate& update) {
                          sent_.push_back(update);
                        },
-                   .now = [this] { return now_; }}) {}
+                   .now = [this] { return now_; },
+                   .true_micros = [] { return int64_t{0}; }}) {}
 
   void Poll(uint64_t version) { PollWith(kProcess + ++token_, version); }
   void PollWith(uint64_t token, uint64_t version) {
@@ -104,7 +105,8 @@
                        [this](const VmId&, const GatewayUpdate& update) {
                          sent_.push_back(update);
                        },
-                   .now = [this] { return now_; }}) {
+                   .now = [this] { return now_; },
+                   .true_micros = [] { return int64_t{0}; }}) {
     ControlNodeSettings settings;
     settings.replica.vm = VmId("r");
     settings.replica.voter_vms = {VmId("r")};
@@ -157,7 +159,8 @@
   QuarantineSessionsTest()
       : other_({.when_current = [](const auto&) {},
                 .send = [](const VmId&, const GatewayUpdate&) {},
-                .now = [this] { return now_; }}) {}
+                .now = [this] { return now_; },
+                .true_micros = [] { return int64_t{0}; }}) {}
 
   void PollWith(GatewaySessions* sessions,
                 const std::string& gateway,
