--- a/camphorsail/process/option_spec.cc
+++ b/camphorsail/process/option_spec.cc
@@ -345,7 +345,7 @@
          options->provider_checks_fencing = value == "true";
          return value == "true" || value == "false";
        }},
-      DecimalOption("duty-lease-ms", 3000, 100, 600000,
+      DecimalOption("duty-lease-ms", 3000, 1, 600000,
                     "Milliseconds for which the holder of the duties may act "
                     "after a quorum last confirmed it.",
                     [](double value, Options* options) {
--- a/tests/unit/platform/settings_template_test.cc
+++ b/tests/unit/platform/settings_template_test.cc
@@ -2,6 +2,8 @@
 #include <regex>
 #include <sstream>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "camphorsail/process/options.h"
@@ -21,7 +23,15 @@
 
 /// Fills in a template.
 /// @param figure Value of each limit and bound that is not a fraction.
-std::string Render(std::string text, const std::string& figure) {
+/// @param has_provider Whether the optional sections have values.
+std::string Render(std::string text,
+                   const std::string& figure,
+                   bool has_provider) {
+  text = std::regex_replace(
+      text,
+      std::regex(has_provider ? R"(\{\{[#/][\w.]+\}\}\n)"
+                              : R"(\{\{#([\w.]+)\}\}[^]*?\{\{/\1\}\}\n)"),
+      "");
   const std::pair<const char*, std::string> values[] = {
       {R"(\{\{ip\}\})", "10.1.0.40"},
       {R"(\{\{(region|zone)\}\})", "place"},
@@ -34,6 +44,9 @@
       {R"(\{\{dataDir\}\})", "data"},
       {R"(\{\{bounds\.retryRatio\}\})", "0.25"},
       {R"(\{\{(bounds|limits)\.\w+\}\})", figure},
+      {R"(\{\{cloud\.address\}\})", "10.200.0.113:8424"},
+      {R"(\{\{cloud\.duties\}\})", "usage,scale,another"},
+      {R"(\{\{cloud\.dutyPerS\}\})", figure},
   };
   for (const auto& [pattern, value] : values) {
     text = std::regex_replace(text, std::regex(pattern), value);
@@ -46,9 +59,17 @@
 TEST(SettingsTemplateTest, FiguresMayHaveDecimals) {
   const std::string root = CAMPHORSAIL_SOURCE_DIR;
   for (const char* name : {"gateway.settings", "control.settings"}) {
-    for (const char* figure : {"32", "32.7360001", "8.0", "1e2"}) {
-      std::string text =
-          Render(ReadFile(absl::StrCat(root, "/deploy/", name)), figure);
+    for (const auto& [figure, has_provider] :
+         std::vector<std::pair<const char*, bool>>{{"32", false},
+                                                   {"32.7360001", false},
+                                                   {"8.0", false},
+                                                   {"1e2", false},
+                                                   {"32", true},
+                                                   {"32.7360001", true},
+                                                   {"8.0", true},
+                                                   {"1e2", true}}) {
+      std::string text = Render(ReadFile(absl::StrCat(root, "/deploy/", name)),
+                                figure, has_provider);
       ASSERT_EQ(text.find("{{"), std::string::npos) << text;
       text = std::regex_replace(text, std::regex("deploy/"),
                                 absl::StrCat(root, "/deploy/"));
