--- a/camphorsail/runtime/duty_feed.cc
+++ b/camphorsail/runtime/duty_feed.cc
@@ -131,10 +131,14 @@
   for (const auto& [id, entry] : registry.entries()) {
     const ServerDescription& description = entry.announcement.description;
     const auto found = in_flight.find(StableHash(id.value()));
-    const double occupied = found == in_flight.end()
-                                ? 0
-                                : found->second / static_cast<double>(std::max(
-                                                      1, description.capacity));
+    // Requests that wait for a slot are not a demand for another server: they
+    // wait longer the fewer servers there are.
+    const int capacity_slots = std::max(1, description.capacity);
+    const double occupied =
+        found == in_flight.end()
+            ? 0
+            : std::min(1.0,
+                       found->second / static_cast<double>(capacity_slots));
     if (description.kind == ServerKind::kModelEngine) {
       all_engines_occupied += occupied;
     }
@@ -164,8 +168,17 @@
     if (all_engines_occupied > 0) {
       capacity.arriving_work = work * capacity.occupied / all_engines_occupied;
     }
-    for (WantedServers& servers : planner_->Plan(capacity, now)) {
-      wanted.push_back(std::move(servers));
+    int servers = 0;
+    for (WantedServers& planned : planner_->Plan(capacity, now)) {
+      servers += planned.order.count;
+      wanted.push_back(std::move(planned));
+    }
+    if (std::exchange(planned_servers_[name], servers) != servers) {
+      LogEvent("capacity_planned")
+          .Add("service", name)
+          .Add("count", servers)
+          .Add("arriving_work", capacity.arriving_work)
+          .Add("occupied", capacity.occupied);
     }
   }
   return wanted;
--- a/camphorsail/runtime/duty_feed.h
+++ b/camphorsail/runtime/duty_feed.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORSAIL_RUNTIME_DUTY_FEED_H_
 #define CAMPHORSAIL_RUNTIME_DUTY_FEED_H_
 
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -80,6 +81,8 @@
   TrueClock clock_ ABSL_GUARDED_BY(mutex_);
   /// Only on the leader; a new leader has a new planner.
   std::optional<CapacityPlanner> planner_ ABSL_GUARDED_BY(mutex_);
+  /// Servers of each service in the last plan.
+  std::map<ModelId, int> planned_servers_ ABSL_GUARDED_BY(mutex_);
   std::optional<MonoTime> leading_since_ ABSL_GUARDED_BY(mutex_);
   /// The replica to which counts were forwarded last.
   VmId forwarded_to_ ABSL_GUARDED_BY(mutex_);
--- a/camphorsail/scaling/capacity_planner.cc
+++ b/camphorsail/scaling/capacity_planner.cc
@@ -9,12 +9,6 @@
 /// Time from the first announcement until all servers have announced
 /// themselves; they do so every second or so.
 constexpr absl::Duration kDiscoveryTime = absl::Seconds(3);
-/// Demand, in servers, below which a rise is not counted as a burst: a few
-/// requests more would be a large factor.
-constexpr double kMinBurstDemand = 2;
-/// Upper bound of the learned burst. A rise from almost nothing tells nothing
-/// about the next one.
-constexpr double kMaxBurst = 3;
 /// Fraction of the ordered reclaimable servers that must be present before
 /// regular ones are given back for them.
 constexpr double kReplacedFraction = 0.95;
@@ -74,19 +68,16 @@
                                    ServiceHistory* history,
                                    MonoTime now) const {
   const double demand = std::max(capacity.arriving_work, capacity.occupied);
-  const absl::Duration start_time =
-      absl::Milliseconds(capacity.scaling.boot_time_ms);
-  std::deque<Sample>& recent = history->recent;
-  while (!recent.empty() && now - recent.front().at > start_time) {
-    recent.pop_front();
+  // Before the first requests there is nothing to average.
+  if (history->average > 0) {
+    const double weight =
+        1 - std::exp(-absl::FDivDuration(now - history->averaged_at,
+                                         settings_.average_time));
+    history->average += weight * (demand - history->average);
+  } else {
+    history->average = demand;
   }
-  for (const Sample& sample : recent) {
-    if (sample.servers >= kMinBurstDemand) {
-      history->burst =
-          std::clamp(demand / sample.servers, history->burst, kMaxBurst);
-    }
-  }
-  recent.push_back({now, demand});
+  history->averaged_at = now;
   std::deque<Sample>& peaks = history->peaks;
   while (!peaks.empty() && now - peaks.front().at > settings_.memory) {
     peaks.pop_front();
@@ -120,12 +111,13 @@
                                   const ServiceHistory& history,
                                   MonoTime now) const {
   const double peak = history.peaks.empty() ? 0 : history.peaks.front().servers;
-  const double burst = std::max(history.burst, settings_.min_burst);
-  double needed = peak * burst / settings_.target_utilization;
+  double needed = std::max(peak, history.average * settings_.burst) /
+                  settings_.target_utilization;
   if (capacity.domains.size() > 1) {
     // What is left without one failure domain has to serve the demand.
     const double left = 1 - 1.0 / static_cast<double>(capacity.domains.size());
-    needed = std::max(needed, peak / settings_.target_utilization / left);
+    needed =
+        std::max(needed, history.average / settings_.target_utilization / left);
   }
   int total = static_cast<int>(std::ceil(needed));
   if (now - history.first_seen < settings_.memory) {
--- a/camphorsail/scaling/capacity_planner.h
+++ b/camphorsail/scaling/capacity_planner.h
@@ -21,11 +21,11 @@
 ///
 /// Answers demand that rises faster than a server starts, and reclaimable
 /// servers that leave a failure domain all at once. The number of servers
-/// covers the highest recent demand times the largest rise that was seen within
-/// the start time of a server, and what remains without any one failure domain
-/// still covers the demand itself. Most servers are reclaimable and spread over
-/// the failure domains; servers that go are replaced elsewhere at once. Servers
-/// are given back slowly, and only when those that replace them are present.
+/// covers a rise of the highest recent demand, and what remains without any one
+/// failure domain still covers the demand itself. Most servers are reclaimable
+/// and spread over the failure domains; servers that go are replaced elsewhere
+/// at once. Servers are given back slowly, and only when those that replace
+/// them are present.
 ///
 /// Not thread-safe.
 class CapacityPlanner {
@@ -51,12 +51,11 @@
     /// Servers that an earlier holder of the duties, or the operators before
     /// the first order, found necessary.
     int initial_servers = 0;
-    /// Demand within the start time of a server, oldest first.
-    std::deque<Sample> recent;
+    /// Moving average of the demand, in servers, and when it was updated.
+    double average = 0;
+    MonoTime averaged_at;
     /// Maxima of the demand, oldest first with decreasing values.
     std::deque<Sample> peaks;
-    /// Largest factor by which demand rose within the start time of a server.
-    double burst = 0;
     /// Failure domains without reclaimable servers at the moment.
     std::map<FailureDomainId, MonoTime> short_until;
     /// The counts of the last plan.
--- a/camphorsail/scaling/capacity_planner_settings.h
+++ b/camphorsail/scaling/capacity_planner_settings.h
@@ -9,10 +9,11 @@
 struct CapacityPlannerSettings {
   /// Fraction of the servers' time and of their slots that requests may take.
   /// Above it the queues of a short burst take longer than the burst to empty.
-  double target_utilization = 0.6;
-  /// Smallest factor by which demand may rise while a new server starts. A
-  /// larger one is learned from the demand.
-  double min_burst = 1.5;
+  double target_utilization = 0.7;
+  /// Factor by which demand may rise above its average while a server starts.
+  double burst = 1.5;
+  /// Time constant of the average.
+  absl::Duration average_time = absl::Seconds(30);
   /// Fraction of the servers that cannot be reclaimed. They serve the most
   /// urgent requests while all others are gone.
   double regular_fraction = 0.1;
