--- a/camphorsail/runtime/duty_feed.cc
+++ b/camphorsail/runtime/duty_feed.cc
@@ -21,15 +21,20 @@
   return settings;
 }
 
+/// Time since its last message after which a server that was leaving has left.
+constexpr absl::Duration kLeavingSilence = absl::Seconds(3);
+
 /// Adds a server to the supply of its failure domain.
-void AddServer(const ServerAnnouncement& announcement,
+void AddServer(const ServerEntry& entry,
                bool is_available,
+               MonoTime now,
                DomainSupply* supply) {
+  const ServerAnnouncement& announcement = entry.announcement;
   if (!announcement.description.reclaimable) {
     supply->regular += is_available ? 1 : 0;
   } else if (is_available) {
     ++supply->reclaimable;
-  } else if (announcement.leaving) {
+  } else if (announcement.leaving && now - entry.heard_at < kLeavingSilence) {
     ++supply->reclaimable_leaving;
   }
 }
@@ -148,7 +153,7 @@
         continue;
       }
       service->second.occupied += occupied;
-      AddServer(entry.announcement, registry.IsAvailable(id, now),
+      AddServer(entry, registry.IsAvailable(id, now), now,
                 &service->second.domains[description.failure_domain]);
     }
   }
--- a/camphorsail/scaling/capacity_planner.cc
+++ b/camphorsail/scaling/capacity_planner.cc
@@ -67,7 +67,10 @@
 void CapacityPlanner::RecordDemand(const ServiceCapacity& capacity,
                                    ServiceHistory* history,
                                    MonoTime now) const {
-  const double demand = std::max(capacity.arriving_work, capacity.occupied);
+  // What arrives includes what is refused or was read before; what is occupied
+  // lags behind a rise.
+  const double demand = std::max(
+      capacity.occupied, (capacity.arriving_work + capacity.occupied) / 2);
   // Before the first requests there is nothing to average.
   if (history->average > 0) {
     const double weight =
@@ -99,6 +102,13 @@
   }
 }
 
+bool CapacityPlanner::IsShort(const ServiceHistory& history,
+                              const FailureDomainId& domain,
+                              MonoTime now) {
+  const auto found = history.short_until.find(domain);
+  return found != history.short_until.end() && now < found->second;
+}
+
 void CapacityPlanner::OnShortage(const ServerOrderSubject& subject,
                                  MonoTime now) {
   if (subject.tenure == ServerTenure::kReclaimable) {
@@ -142,17 +152,12 @@
   const double mean_price =
       price_sum / static_cast<double>(capacity.domains.size());
   std::map<FailureDomainId, double> weights;
-  std::map<FailureDomainId, double> open_weights;
   std::map<FailureDomainId, int> limits;
   for (const auto& [domain, supply] : capacity.domains) {
     weights[domain] =
         1 + std::clamp(1 - PriceOf(scaling, domain) / mean_price,
                        -settings_.price_preference, settings_.price_preference);
     limits[domain] = scaling.max_servers;
-    const auto is_short = history.short_until.find(domain);
-    if (is_short == history.short_until.end() || now >= is_short->second) {
-      open_weights[domain] = weights[domain];
-    }
   }
   const int regular =
       has_reclaimable
@@ -162,15 +167,19 @@
           : total;
   std::map<FailureDomainId, int> regular_parts =
       DivideByWeight(regular, weights, limits);
-  for (auto& [domain, limit] : limits) {
-    limit -= regular_parts[domain];
+  std::map<FailureDomainId, int> reclaimable_limits;
+  for (const auto& [domain, supply] : capacity.domains) {
+    const int limit = limits[domain] - regular_parts[domain];
+    reclaimable_limits[domain] = IsShort(history, domain, now)
+                                     ? std::min(limit, supply.reclaimable)
+                                     : limit;
   }
   std::map<FailureDomainId, int> reclaimable_parts =
-      DivideByWeight(std::max(0, total - regular), open_weights, limits);
+      DivideByWeight(std::max(0, total - regular), weights, reclaimable_limits);
   int missing = std::max(0, total - regular);
   for (auto& [domain, limit] : limits) {
     missing -= reclaimable_parts[domain];
-    limit += regular_parts[domain] - reclaimable_parts[domain];
+    limit -= reclaimable_parts[domain];
   }
   // What cannot be had as reclaimable servers is ordered as regular ones.
   regular_parts = DivideByWeight(regular + missing, weights, limits);
@@ -219,10 +228,8 @@
     const int before = planned != history->planned.end() ? planned->second
                        : is_regular                      ? supply.regular
                                                          : supply.reclaimable;
-    const auto is_short = history->short_until.find(subject.failure_domain);
     if (count >= before ||
-        (!is_regular && is_short != history->short_until.end() &&
-         now < is_short->second)) {
+        (!is_regular && IsShort(*history, subject.failure_domain, now))) {
       // The provider takes servers of a short failure domain away by itself.
       continue;
     }
@@ -234,6 +241,16 @@
   if (has_released) {
     history->next_release = now + settings_.release_interval;
   }
+  // The provider's limit holds for both kinds together.
+  for (auto& [subject, count] : *plan) {
+    if (subject.tenure == ServerTenure::kReclaimable) {
+      ServerOrderSubject regular = subject;
+      regular.tenure = ServerTenure::kRegular;
+      count = std::clamp(
+          count, 0,
+          std::max(0, capacity.scaling.max_servers - plan->at(regular)));
+    }
+  }
 }
 
 std::vector<WantedServers> CapacityPlanner::Plan(
--- a/camphorsail/scaling/capacity_planner.h
+++ b/camphorsail/scaling/capacity_planner.h
@@ -71,6 +71,11 @@
   void RecordReclaims(const ServiceCapacity& capacity,
                       ServiceHistory* history,
                       MonoTime now) const;
+  /// @return True while the provider has no more reclaimable servers in the
+  /// failure domain.
+  static bool IsShort(const ServiceHistory& history,
+                      const FailureDomainId& domain,
+                      MonoTime now);
   /// @return Number of servers that the service needs in all.
   int TotalServers(const ServiceCapacity& capacity,
                    const ServiceHistory& history,
