A fleet that suffices is kept; servers are exchanged a step at a time

Seen: after a shortage all reclaimable servers were ordered again beside their regular stand-ins (86 -> 171 servers), which moves the homes of all shared prompt prefixes; every change of the need by one server was an order, also in a swing of 27%; a change of kind stopped for ever when both kinds did not fit below the provider's limit; orders of both kinds together exceeded that limit between two calls; and a new holder judged the fleet by its reclaimable servers alone.

The plan now starts from the last orders and changes them: what is missing is added at once, the need must change by a tenth before that counts, and servers are exchanged for others a tenth at a time, the new ones first (all at once before the first requests). A refused subject keeps what it has, and the rest goes elsewhere, for both kinds. What is missing although the order was sent again is replaced elsewhere, without lowering the order. The number that a new holder keeps is that of the last orders of both kinds, less one step, so that changes of holder do not add up.

--- a/camphorsail/runtime/duty_feed.cc
+++ b/camphorsail/runtime/duty_feed.cc
@@ -31,9 +31,9 @@
                DomainSupply* supply) {
   const ServerAnnouncement& announcement = entry.announcement;
   if (!announcement.description.reclaimable) {
-    supply->regular += is_available ? 1 : 0;
+    supply->regular.present += is_available ? 1 : 0;
   } else if (is_available) {
-    ++supply->reclaimable;
+    ++supply->reclaimable.present;
   } else if (announcement.leaving && now - entry.heard_at < kLeavingSilence) {
     ++supply->reclaimable_leaving;
   }
@@ -159,9 +159,12 @@
   }
   for (const auto& [subject, order] : store.orders()) {
     const auto service = services.find(subject.service);
-    if (service != services.end() &&
-        subject.tenure == ServerTenure::kReclaimable) {
-      service->second.ordered_reclaimable += order.count;
+    if (service == services.end()) {
+      continue;
+    }
+    const auto domain = service->second.domains.find(subject.failure_domain);
+    if (domain != service->second.domains.end()) {
+      domain->second.Of(subject.tenure).ordered = order.count;
     }
   }
   // Gateways share one figure for the work of all engines; each service's part
--- a/camphorsail/scaling/capacity_planner.cc
+++ b/camphorsail/scaling/capacity_planner.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
+
+#include "camphorsail/scaling/server_division.h"
 
 namespace camphorsail {
 namespace {
@@ -9,289 +12,320 @@
 /// Time from the first announcement until all servers have announced
 /// themselves; they do so every second or so.
 constexpr absl::Duration kDiscoveryTime = absl::Seconds(3);
-/// Fraction of the ordered reclaimable servers that must be present before
-/// regular ones are given back for them.
-constexpr double kReplacedFraction = 0.95;
+/// Fraction of the planned servers that may be starting while others are given
+/// back.
+constexpr double kStartingFraction = 0.05;
 /// Fraction of a failure domain's reclaimable servers that leave at the same
-/// time when the provider reclaims them.
-constexpr double kReclaimFraction = 0.5;
+/// time when the provider reclaims them, and of the planned servers of a
+/// subject that are missing when it is lost.
+constexpr double kLossFraction = 0.5;
+/// Number of servers left by a reclaim that is not worth an order for each.
+constexpr int kFewServers = 3;
 /// Time from the end of a server's start until its announcement has reached the
 /// holder of the duties, and from an order until the provider carries it out.
 constexpr absl::Duration kSettleMargin = absl::Seconds(4);
 
+constexpr ServerTenure kTenures[] = {ServerTenure::kRegular,
+                                     ServerTenure::kReclaimable};
+
+absl::Duration SettleTime(const ScalingProfile& scaling) {
+  return absl::Milliseconds(scaling.boot_time_ms) + kSettleMargin;
+}
+
 int PresentServers(const ServiceCapacity& capacity) {
   int present = 0;
   for (const auto& [domain, supply] : capacity.domains) {
-    present += supply.regular + supply.reclaimable;
+    present += supply.regular.present + supply.reclaimable.present;
   }
   return present;
 }
 
-double PriceOf(const ScalingProfile& scaling, const FailureDomainId& domain) {
-  const auto found = std::find_if(scaling.prices.begin(), scaling.prices.end(),
-                                  [&](const FailureDomainPrice& price) {
-                                    return price.failure_domain == domain;
-                                  });
-  return found == scaling.prices.end() || found->price <= 0 ? 1 : found->price;
+ServerOrderSubject OtherTenure(ServerOrderSubject subject) {
+  subject.tenure = subject.tenure == ServerTenure::kRegular
+                       ? ServerTenure::kReclaimable
+                       : ServerTenure::kRegular;
+  return subject;
 }
 
-/// Divides `total` in proportion to the weights, by largest remainders.
-/// @param limits Largest part of each.
-std::map<FailureDomainId, int> DivideByWeight(
-    int total,
-    const std::map<FailureDomainId, double>& weights,
-    std::map<FailureDomainId, int> limits) {
-  std::map<FailureDomainId, int> parts;
-  for (; total > 0; --total) {
-    // The next server goes where the quotient of weight and servers is largest
-    // (Sainte-Laguë), which keeps the parts in proportion at every size.
-    const FailureDomainId* best = nullptr;
-    double best_quotient = 0;
-    for (const auto& [domain, weight] : weights) {
-      const double quotient = weight / (2.0 * parts[domain] + 1);
-      if (parts[domain] < limits[domain] && quotient > best_quotient) {
-        best = &domain;
-        best_quotient = quotient;
-      }
-    }
-    if (best == nullptr) {
-      break;
-    }
-    ++parts[*best];
+/// @return The servers that an earlier holder of the duties, or the operators,
+/// found necessary.
+int InitialServers(const ServiceCapacity& capacity, double change_fraction) {
+  const bool has_reclaimable = capacity.scaling.reclaimable_price > 0;
+  bool is_all_ordered = true;
+  int regular = 0;
+  int reclaimable = 0;
+  for (const auto& [domain, supply] : capacity.domains) {
+    regular += supply.regular.ordered.value_or(supply.regular.present);
+    reclaimable +=
+        supply.reclaimable.ordered.value_or(supply.reclaimable.present);
+    is_all_ordered =
+        is_all_ordered && supply.regular.ordered.has_value() &&
+        (!has_reclaimable || supply.reclaimable.ordered.has_value());
+  }
+  if (!is_all_ordered) {
+    // Before the first change of kind has ended, both kinds are there for the
+    // same need.
+    return std::max(regular, reclaimable);
   }
-  return parts;
+  // The orders may contain a step of servers that are being exchanged. Without
+  // this every new holder would add a step.
+  return static_cast<int>(
+      std::ceil((regular + reclaimable) / (1 + change_fraction)));
 }
 
 }  // namespace
 
-void CapacityPlanner::RecordDemand(const ServiceCapacity& capacity,
-                                   ServiceHistory* history,
-                                   MonoTime now) const {
-  // What arrives includes what is refused or was read before; what is occupied
-  // lags behind a rise.
-  const double demand = std::max(
-      capacity.occupied, (capacity.arriving_work + capacity.occupied) / 2);
-  // Before the first requests there is nothing to average.
-  if (history->average > 0) {
-    const double weight =
-        1 - std::exp(-absl::FDivDuration(now - history->averaged_at,
-                                         settings_.average_time));
-    history->average += weight * (demand - history->average);
-  } else {
-    history->average = demand;
-  }
-  history->averaged_at = now;
-  std::deque<Sample>& peaks = history->peaks;
-  while (!peaks.empty() && now - peaks.front().at > settings_.memory) {
-    peaks.pop_front();
+void CapacityPlanner::OnShortage(const ServerOrderSubject& subject,
+                                 MonoTime now) {
+  const auto service = services_.find(subject.service);
+  if (service == services_.end()) {
+    return;
   }
-  while (!peaks.empty() && peaks.back().servers <= demand) {
-    peaks.pop_back();
+  const auto found = service->second.subjects.find(subject);
+  if (found != service->second.subjects.end()) {
+    found->second.short_until = now + settings_.shortage_time;
+    found->second.is_refused = true;
   }
-  peaks.push_back({now, demand});
 }
 
-void CapacityPlanner::RecordReclaims(const ServiceCapacity& capacity,
-                                     ServiceHistory* history,
-                                     MonoTime now) const {
+int CapacityPlanner::Step(int servers) const {
+  return std::max(
+      1, static_cast<int>(std::ceil(servers * settings_.change_fraction)));
+}
+
+void CapacityPlanner::Begin(const ServiceCapacity& capacity,
+                            MonoTime now,
+                            ServicePlan* plan) const {
+  plan->initial_servers = InitialServers(capacity, settings_.change_fraction);
   for (const auto& [domain, supply] : capacity.domains) {
-    const int all = supply.reclaimable + supply.reclaimable_leaving;
-    if (supply.reclaimable_leaving > all * kReclaimFraction) {
-      history->short_until[domain] = now + settings_.shortage_time;
+    for (const ServerTenure tenure : kTenures) {
+      const TenureSupply& servers = supply.Of(tenure);
+      SubjectPlan& subject = plan->subjects[{capacity.service, domain, tenure}];
+      subject.count = servers.ordered.value_or(servers.present);
+      subject.ordered = servers.ordered;
+      // When the last order was sent is not known; its servers may be starting.
+      subject.ordered_at = now;
+      subject.raised_at = now;
     }
   }
 }
 
-bool CapacityPlanner::IsShort(const ServiceHistory& history,
-                              const FailureDomainId& domain,
-                              MonoTime now) {
-  const auto found = history.short_until.find(domain);
-  return found != history.short_until.end() && now < found->second;
-}
-
-void CapacityPlanner::OnShortage(const ServerOrderSubject& subject,
-                                 MonoTime now) {
-  if (subject.tenure == ServerTenure::kReclaimable) {
-    services_[subject.service].short_until[subject.failure_domain] =
-        now + settings_.shortage_time;
+void CapacityPlanner::RecordSupply(const ServiceCapacity& capacity,
+                                   MonoTime now,
+                                   ServicePlan* plan) const {
+  const absl::Duration settle_time = SettleTime(capacity.scaling);
+  for (auto& [key, subject] : plan->subjects) {
+    const auto found = capacity.domains.find(key.failure_domain);
+    const DomainSupply supply =
+        found == capacity.domains.end() ? DomainSupply() : found->second;
+    const TenureSupply& servers = supply.Of(key.tenure);
+    subject.present = servers.present;
+    if (subject.ordered != servers.ordered) {
+      subject.ordered = servers.ordered;
+      subject.ordered_at = now;
+    }
+    const int all = servers.present + supply.reclaimable_leaving;
+    if (key.tenure == ServerTenure::kReclaimable &&
+        supply.reclaimable_leaving > all * kLossFraction) {
+      subject.short_until = now + settings_.shortage_time;
+      subject.count = std::min(
+          subject.count, servers.present > kFewServers ? servers.present : 0);
+    }
+    if (std::exchange(subject.is_refused, false)) {
+      // What was accepted before may still be starting.
+      const bool is_starting = now - *subject.ordered_at < settle_time;
+      const int had =
+          is_starting ? std::max(servers.present, subject.ordered.value_or(0))
+                      : servers.present;
+      subject.count = std::min(subject.count, had);
+    }
+    if (subject.present >= subject.count * kLossFraction) {
+      subject.missing_since.reset();
+    } else if (!subject.missing_since.has_value()) {
+      subject.missing_since = now;
+    }
+    // After the first settle time the order is sent again.
+    subject.is_lost = subject.missing_since.has_value() &&
+                      now - *subject.missing_since > 2 * settle_time;
   }
 }
 
-int CapacityPlanner::TotalServers(const ServiceCapacity& capacity,
-                                  const ServiceHistory& history,
-                                  MonoTime now) const {
-  const double peak = history.peaks.empty() ? 0 : history.peaks.front().servers;
-  double needed = std::max(peak, history.average * settings_.burst) /
+void CapacityPlanner::UpdateTotal(const ServiceCapacity& capacity,
+                                  MonoTime now,
+                                  ServicePlan* plan) const {
+  const auto domains = static_cast<int>(capacity.domains.size());
+  const DemandHistory& demand = plan->demand;
+  double needed = std::max(demand.Peak(), demand.average() * settings_.burst) /
                   settings_.target_utilization;
-  if (capacity.domains.size() > 1) {
+  if (domains > 1) {
     // What is left without one failure domain has to serve the demand.
-    const double left = 1 - 1.0 / static_cast<double>(capacity.domains.size());
-    needed =
-        std::max(needed, history.average / settings_.target_utilization / left);
+    const double left = 1 - 1.0 / domains;
+    needed = std::max(needed,
+                      demand.average() / settings_.target_utilization / left);
   }
   int total = static_cast<int>(std::ceil(needed));
-  if (now - history.first_seen < settings_.memory) {
-    total = std::max(total, history.initial_servers);
+  if (now - plan->first_seen < settings_.memory) {
+    total = std::max(total, plan->initial_servers);
+  }
+  total = std::clamp(total, capacity.scaling.min_servers * domains,
+                     capacity.scaling.max_servers * domains);
+  // A smaller change is left alone until it adds up to a step.
+  if (plan->total == 0 || std::abs(total - plan->total) >= Step(plan->total)) {
+    plan->total = total;
   }
-  const auto domains = static_cast<int>(capacity.domains.size());
-  return std::clamp(total, capacity.scaling.min_servers * domains,
-                    capacity.scaling.max_servers * domains);
 }
 
-std::map<ServerOrderSubject, int> CapacityPlanner::Divide(
-    const ServiceCapacity& capacity,
-    const ServiceHistory& history,
-    int total,
-    MonoTime now) const {
-  const ScalingProfile& scaling = capacity.scaling;
-  const bool has_reclaimable = scaling.reclaimable_price > 0;
-  double price_sum = 0;
-  for (const auto& [domain, supply] : capacity.domains) {
-    price_sum += PriceOf(scaling, domain);
-  }
-  const double mean_price =
-      price_sum / static_cast<double>(capacity.domains.size());
-  std::map<FailureDomainId, double> weights;
-  std::map<FailureDomainId, int> limits;
-  for (const auto& [domain, supply] : capacity.domains) {
-    weights[domain] =
-        1 + std::clamp(1 - PriceOf(scaling, domain) / mean_price,
-                       -settings_.price_preference, settings_.price_preference);
-    limits[domain] = scaling.max_servers;
-  }
-  const int regular =
-      has_reclaimable
-          ? std::max(
-                static_cast<int>(std::ceil(total * settings_.regular_fraction)),
-                scaling.min_servers * static_cast<int>(weights.size()))
-          : total;
-  std::map<FailureDomainId, int> regular_parts =
-      DivideByWeight(regular, weights, limits);
-  std::map<FailureDomainId, int> reclaimable_limits;
-  for (const auto& [domain, supply] : capacity.domains) {
-    const int limit = limits[domain] - regular_parts[domain];
-    reclaimable_limits[domain] = IsShort(history, domain, now)
-                                     ? std::min(limit, supply.reclaimable)
-                                     : limit;
+void CapacityPlanner::Release(const std::map<ServerOrderSubject, int>& target,
+                              const ChangeBounds& change,
+                              MonoTime now,
+                              ServicePlan* plan) const {
+  int usable = 0;
+  std::vector<std::pair<int, ServerOrderSubject>> excess;
+  for (const auto& [key, subject] : plan->subjects) {
+    usable += std::min(subject.present, subject.count);
+    if (subject.count > target.at(key) && !subject.is_lost) {
+      excess.emplace_back(subject.count - target.at(key), key);
+    }
   }
-  std::map<FailureDomainId, int> reclaimable_parts =
-      DivideByWeight(std::max(0, total - regular), weights, reclaimable_limits);
-  int missing = std::max(0, total - regular);
-  for (auto& [domain, limit] : limits) {
-    missing -= reclaimable_parts[domain];
-    limit -= reclaimable_parts[domain];
+  const int worth = plan->exchanged > 0
+                        ? std::min(change.smallest, plan->exchanged)
+                        : change.smallest;
+  const int surplus = usable - plan->total;
+  if (now < plan->next_release || surplus < worth) {
+    return;
   }
-  // What cannot be had as reclaimable servers is ordered as regular ones.
-  regular_parts = DivideByWeight(regular + missing, weights, limits);
-  std::map<ServerOrderSubject, int> plan;
-  for (const auto& [domain, supply] : capacity.domains) {
-    plan[{capacity.service, domain, ServerTenure::kRegular}] =
-        regular_parts[domain];
-    if (has_reclaimable) {
-      plan[{capacity.service, domain, ServerTenure::kReclaimable}] =
-          reclaimable_parts[domain];
+  // Regular servers first, as they cost more.
+  std::sort(excess.begin(), excess.end(), [](const auto& a, const auto& b) {
+    return std::pair(a.second.tenure, -a.first) <
+           std::pair(b.second.tenure, -b.first);
+  });
+  int budget = std::min(surplus, change.largest);
+  for (const auto& [count, key] : excess) {
+    const int released = std::min(count, budget);
+    plan->subjects[key].count -= released;
+    budget -= released;
+    if (released > 0) {
+      plan->next_release = now + settings_.release_interval;
+      plan->exchanged = 0;
     }
   }
-  return plan;
 }
 
-void CapacityPlanner::LimitReleases(
-    const ServiceCapacity& capacity,
-    int total,
-    ServiceHistory* history,
-    MonoTime now,
-    std::map<ServerOrderSubject, int>* plan) const {
-  const bool is_idle = std::max(capacity.arriving_work, capacity.occupied) <= 0;
-  int wanted_reclaimable = 0;
-  int reclaimable = 0;
-  for (const auto& [subject, count] : *plan) {
-    if (subject.tenure == ServerTenure::kReclaimable) {
-      wanted_reclaimable += count;
-      reclaimable += capacity.domains.at(subject.failure_domain).reclaimable;
+void CapacityPlanner::Raise(const std::map<ServerOrderSubject, int>& target,
+                            const ChangeBounds& change,
+                            int max_servers,
+                            MonoTime now,
+                            ServicePlan* plan) const {
+  int expected = 0;
+  int wanted = 0;
+  std::vector<std::pair<int, ServerOrderSubject>> deficits;
+  for (const auto& [key, subject] : plan->subjects) {
+    expected += subject.Expected();
+    if (const int deficit = target.at(key) - subject.count; deficit > 0) {
+      deficits.emplace_back(deficit, key);
+      wanted += deficit;
     }
   }
-  const bool is_replaced =
-      reclaimable >= wanted_reclaimable * kReplacedFraction;
-  const bool may_release = is_replaced && now >= history->next_release;
-  int budget = 0;
-  if (may_release) {
-    budget =
-        is_idle
-            ? total * 2
-            : static_cast<int>(std::ceil(total * settings_.release_fraction));
+  const int missing = std::max(0, plan->total - expected);
+  int budget = missing;
+  // Servers of an exchange that were lost or are needed now are not given back.
+  plan->exchanged = std::clamp(expected - plan->total, 0, plan->exchanged);
+  if (plan->exchanged == 0 && wanted - missing >= change.smallest) {
+    budget = std::max(
+        missing, plan->total + std::min(wanted, change.largest) - expected);
   }
-  bool has_released = false;
-  for (auto& [subject, count] : *plan) {
-    const DomainSupply& supply = capacity.domains.at(subject.failure_domain);
-    const bool is_regular = subject.tenure == ServerTenure::kRegular;
-    const auto planned = history->planned.find(subject);
-    const int before = planned != history->planned.end() ? planned->second
-                       : is_regular                      ? supply.regular
-                                                         : supply.reclaimable;
-    if (count >= before ||
-        (!is_regular && IsShort(*history, subject.failure_domain, now))) {
-      // The provider takes servers of a short failure domain away by itself.
-      continue;
+  // The largest parts first, so that few orders are sent.
+  std::sort(deficits.begin(), deficits.end(), [](const auto& a, const auto& b) {
+    return std::pair(-a.first, a.second) < std::pair(-b.first, b.second);
+  });
+  for (const auto& [deficit, key] : deficits) {
+    SubjectPlan& subject = plan->subjects[key];
+    // The provider's limit holds for both kinds together at any time, so an
+    // order that gives some back must have been accepted before.
+    int others = 0;
+    if (const auto other = plan->subjects.find(OtherTenure(key));
+        other != plan->subjects.end()) {
+      others = std::max(other->second.count,
+                        other->second.ordered.value_or(other->second.present));
+    }
+    const int raised =
+        std::min({deficit, budget, max_servers - others - subject.count});
+    if (raised > 0) {
+      subject.count += raised;
+      subject.raised_at = now;
+      budget -= raised;
     }
-    const int released = std::min(before - count, budget);
-    budget -= released;
-    has_released = has_released || released > 0;
-    count = before - released;
   }
-  if (has_released) {
-    history->next_release = now + settings_.release_interval;
+  int planned = 0;
+  for (const auto& [key, subject] : plan->subjects) {
+    planned += subject.Expected();
   }
-  // The provider's limit holds for both kinds together.
-  for (auto& [subject, count] : *plan) {
-    if (subject.tenure == ServerTenure::kReclaimable) {
-      ServerOrderSubject regular = subject;
-      regular.tenure = ServerTenure::kRegular;
-      count = std::clamp(
-          count, 0,
-          std::max(0, capacity.scaling.max_servers - plan->at(regular)));
-    }
+  if (planned > expected + missing) {
+    plan->exchanged = planned - expected - missing;
   }
 }
 
 std::vector<WantedServers> CapacityPlanner::Plan(
     const ServiceCapacity& capacity,
     MonoTime now) {
-  const int present = PresentServers(capacity);
-  if (present == 0 || capacity.domains.empty()) {
+  if (PresentServers(capacity) == 0) {
     return {};
   }
-  ServiceHistory& history = services_[capacity.service];
-  if (history.first_seen == MonoTime()) {
-    history.first_seen = now;
+  const auto [service, is_new] =
+      services_.try_emplace(capacity.service, settings_);
+  ServicePlan& plan = service->second;
+  if (is_new) {
+    plan.first_seen = now;
   }
-  RecordDemand(capacity, &history, now);
-  RecordReclaims(capacity, &history, now);
-  if (now - history.first_seen < kDiscoveryTime) {
+  // What arrives includes what is refused or was read before; what is occupied
+  // lags behind a rise.
+  plan.demand.Record(std::max(capacity.occupied,
+                              (capacity.arriving_work + capacity.occupied) / 2),
+                     now);
+  if (now - plan.first_seen < kDiscoveryTime) {
     return {};
   }
-  if (history.initial_servers == 0) {
-    history.initial_servers =
-        capacity.ordered_reclaimable > 0
-            ? static_cast<int>(std::round(capacity.ordered_reclaimable /
-                                          (1 - settings_.regular_fraction)))
-            : present;
+  if (plan.subjects.empty()) {
+    Begin(capacity, now, &plan);
+  }
+  RecordSupply(capacity, now, &plan);
+  UpdateTotal(capacity, now, &plan);
+
+  const absl::Duration settle_time = SettleTime(capacity.scaling);
+  std::map<ServerOrderSubject, int> caps;
+  int starting = 0;
+  for (const auto& [key, subject] : plan.subjects) {
+    caps[key] = subject.is_lost        ? subject.present
+                : subject.IsShort(now) ? subject.count
+                                       : capacity.scaling.max_servers;
+    starting += subject.Starting(settle_time, now);
   }
-  const int total = TotalServers(capacity, history, now);
-  std::map<ServerOrderSubject, int> plan =
-      Divide(capacity, history, total, now);
-  LimitReleases(capacity, total, &history, now, &plan);
-  history.planned = plan;
+  const std::map<ServerOrderSubject, int> target =
+      DivideServers(capacity.scaling, settings_, plan.total, caps);
+  ChangeBounds change{Step(plan.total), Step(plan.total)};
+  if (plan.demand.Peak() <= 0) {
+    // Before the first requests no prompt prefix has a home.
+    change = {1, capacity.scaling.max_servers *
+                     static_cast<int>(capacity.domains.size())};
+  }
+  if (starting <= plan.total * kStartingFraction) {
+    Release(target, change, now, &plan);
+  } else {
+    change.largest = 0;
+  }
+  Raise(target, change, capacity.scaling.max_servers, now, &plan);
+
   std::vector<WantedServers> wanted;
-  wanted.reserve(plan.size());
-  for (const auto& [subject, count] : plan) {
-    const DomainSupply& supply = capacity.domains.at(subject.failure_domain);
+  wanted.reserve(plan.subjects.size());
+  for (const auto& [key, subject] : plan.subjects) {
+    if (key.tenure == ServerTenure::kReclaimable &&
+        capacity.scaling.reclaimable_price <= 0) {
+      continue;
+    }
     WantedServers servers;
-    servers.order = {subject, count};
-    servers.present = subject.tenure == ServerTenure::kRegular
-                          ? supply.regular
-                          : supply.reclaimable;
-    servers.settle_time =
-        absl::Milliseconds(capacity.scaling.boot_time_ms) + kSettleMargin;
+    servers.order = {key, subject.count};
+    servers.present = subject.present;
+    servers.settle_time = settle_time;
     wanted.push_back(std::move(servers));
   }
   return wanted;
--- a/camphorsail/scaling/capacity_planner.h
+++ b/camphorsail/scaling/capacity_planner.h
@@ -1,9 +1,7 @@
 #ifndef CAMPHORSAIL_SCALING_CAPACITY_PLANNER_H_
 #define CAMPHORSAIL_SCALING_CAPACITY_PLANNER_H_
 
-#include <deque>
 #include <map>
-#include <optional>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -11,8 +9,10 @@
 #include "camphorsail/base/mono_time.h"
 #include "camphorsail/duties/duty_inputs.h"
 #include "camphorsail/scaling/capacity_planner_settings.h"
+#include "camphorsail/scaling/demand_history.h"
 #include "camphorsail/scaling/server_order.h"
 #include "camphorsail/scaling/service_capacity.h"
+#include "camphorsail/scaling/subject_plan.h"
 
 namespace camphorsail {
 
@@ -24,8 +24,9 @@
 /// covers a rise of the highest recent demand, and what remains without any one
 /// failure domain still covers the demand itself. Most servers are reclaimable
 /// and spread over the failure domains; servers that go are replaced elsewhere
-/// at once. Servers are given back slowly, and only when those that replace
-/// them are present.
+/// at once. A fleet that suffices is kept: the need must change by a step
+/// before servers are ordered or given back, and servers are exchanged for
+/// others a step at a time, the new ones first.
 ///
 /// Not thread-safe.
 class CapacityPlanner {
@@ -34,66 +35,67 @@
       : settings_(settings) {}
 
   /// @return The servers that the service is to have, for each failure domain
-  /// and kind.
+  /// and kind. Empty when nothing is to change because too little is known.
   std::vector<WantedServers> Plan(const ServiceCapacity& capacity,
                                   MonoTime now);
-  /// Records that the provider had no reclaimable server in a failure domain.
+  /// Records that the provider refused an order because it had no more servers
+  /// of the subject.
   void OnShortage(const ServerOrderSubject& subject, MonoTime now);
 
  private:
-  struct Sample {
-    MonoTime at;
-    double servers = 0;
-  };
   /// What is remembered of a service.
-  struct ServiceHistory {
+  struct ServicePlan {
+    explicit ServicePlan(const CapacityPlannerSettings& settings)
+        : demand(settings.average_time, settings.memory) {}
+
     MonoTime first_seen;
+    DemandHistory demand;
     /// Servers that an earlier holder of the duties, or the operators before
     /// the first order, found necessary.
     int initial_servers = 0;
-    /// Moving average of the demand, in servers, and when it was updated.
-    double average = 0;
-    MonoTime averaged_at;
-    /// Maxima of the demand, oldest first with decreasing values.
-    std::deque<Sample> peaks;
-    /// Failure domains without reclaimable servers at the moment.
-    std::map<FailureDomainId, MonoTime> short_until;
-    /// The counts of the last plan.
-    std::map<ServerOrderSubject, int> planned;
+    /// Number of servers that the service is to have in all.
+    int total = 0;
+    std::map<ServerOrderSubject, SubjectPlan> subjects;
+    /// Servers ordered in exchange for others that were not given back yet.
+    int exchanged = 0;
     MonoTime next_release;
   };
 
-  /// Takes the demand of this moment into account.
-  void RecordDemand(const ServiceCapacity& capacity,
-                    ServiceHistory* history,
-                    MonoTime now) const;
-  /// Finds the failure domains whose reclaimable servers leave.
-  void RecordReclaims(const ServiceCapacity& capacity,
-                      ServiceHistory* history,
-                      MonoTime now) const;
-  /// @return True while the provider has no more reclaimable servers in the
-  /// failure domain.
-  static bool IsShort(const ServiceHistory& history,
-                      const FailureDomainId& domain,
-                      MonoTime now);
-  /// @return Number of servers that the service needs in all.
-  int TotalServers(const ServiceCapacity& capacity,
-                   const ServiceHistory& history,
-                   MonoTime now) const;
-  /// Divides the servers among failure domains and kinds.
-  std::map<ServerOrderSubject, int> Divide(const ServiceCapacity& capacity,
-                                           const ServiceHistory& history,
-                                           int total,
-                                           MonoTime now) const;
-  /// Limits how many servers the plan gives back.
-  void LimitReleases(const ServiceCapacity& capacity,
-                     int total,
-                     ServiceHistory* history,
-                     MonoTime now,
-                     std::map<ServerOrderSubject, int>* plan) const;
+  /// How many servers are exchanged or given back at a time.
+  struct ChangeBounds {
+    int smallest = 1;
+    int largest = 0;
+  };
+
+  /// Starts from the last orders, and from the servers that are present where
+  /// there was none.
+  void Begin(const ServiceCapacity& capacity,
+             MonoTime now,
+             ServicePlan* plan) const;
+  /// Takes the servers that are present into account, and those that cannot be
+  /// had or leave.
+  void RecordSupply(const ServiceCapacity& capacity,
+                    MonoTime now,
+                    ServicePlan* plan) const;
+  void UpdateTotal(const ServiceCapacity& capacity,
+                   MonoTime now,
+                   ServicePlan* plan) const;
+  /// Gives servers back that are not needed beside those that are present.
+  void Release(const std::map<ServerOrderSubject, int>& target,
+               const ChangeBounds& change,
+               MonoTime now,
+               ServicePlan* plan) const;
+  /// Adds servers that are missing, and some in exchange for others.
+  void Raise(const std::map<ServerOrderSubject, int>& target,
+             const ChangeBounds& change,
+             int max_servers,
+             MonoTime now,
+             ServicePlan* plan) const;
+  /// @return Size of a change of so many servers.
+  int Step(int servers) const;
 
   const CapacityPlannerSettings settings_;
-  std::map<ModelId, ServiceHistory> services_;
+  std::map<ModelId, ServicePlan> services_;
 };
 
 }  // namespace camphorsail
--- a/camphorsail/scaling/capacity_planner_settings.h
+++ b/camphorsail/scaling/capacity_planner_settings.h
@@ -23,10 +23,12 @@
   /// Time for which a demand is remembered, and for which the number of servers
   /// that was found at the start is kept. Servers are given back afterwards.
   absl::Duration memory = absl::Minutes(10);
-  /// Interval in which servers may be given back, and the largest fraction of
-  /// the servers that goes in one of them.
+  /// Size of a change as a fraction of the servers. The need may rise or fall
+  /// by less without an order, and no more servers are exchanged or given back
+  /// at a time, because every change moves the homes of shared prompt prefixes.
+  double change_fraction = 0.1;
+  /// Shortest time between two steps in which servers are given back.
   absl::Duration release_interval = absl::Seconds(5);
-  double release_fraction = 0.1;
   /// Time for which a failure domain that lost its reclaimable servers, or had
   /// none, is avoided.
   absl::Duration shortage_time = absl::Seconds(10);
