--- a/camphorsail/scaling/capacity_planner.cc
+++ b/camphorsail/scaling/capacity_planner.cc
@@ -53,22 +53,28 @@
   return subject.is_lost ? 0 : std::max(0, subject.count - target);
 }
 
+/// @return True when the provider has accepted an order for every subject.
+bool IsAllOrdered(const ServiceCapacity& capacity) {
+  return std::all_of(capacity.domains.begin(), capacity.domains.end(),
+                     [&](const auto& item) {
+                       const DomainSupply& supply = item.second;
+                       return supply.regular.ordered.has_value() &&
+                              (capacity.scaling.reclaimable_price <= 0 ||
+                               supply.reclaimable.ordered.has_value());
+                     });
+}
+
 /// @return The servers that an earlier holder of the duties, or the operators,
 /// found necessary.
 int InitialServers(const ServiceCapacity& capacity, double change_fraction) {
-  const bool has_reclaimable = capacity.scaling.reclaimable_price > 0;
-  bool is_all_ordered = true;
   int regular = 0;
   int reclaimable = 0;
   for (const auto& [domain, supply] : capacity.domains) {
     regular += supply.regular.ordered.value_or(supply.regular.present);
     reclaimable +=
         supply.reclaimable.ordered.value_or(supply.reclaimable.present);
-    is_all_ordered =
-        is_all_ordered && supply.regular.ordered.has_value() &&
-        (!has_reclaimable || supply.reclaimable.ordered.has_value());
   }
-  if (!is_all_ordered) {
+  if (!IsAllOrdered(capacity)) {
     // Before the first change of kind has ended, both kinds are there for the
     // same need.
     return std::max(regular, reclaimable);
@@ -270,7 +276,8 @@
 std::vector<WantedServers> CapacityPlanner::Plan(
     const ServiceCapacity& capacity,
     MonoTime now) {
-  if (PresentServers(capacity) == 0) {
+  const int present = PresentServers(capacity);
+  if (present == 0) {
     return {};
   }
   const auto [service, is_new] =
@@ -284,10 +291,19 @@
   plan.demand.Record(std::max(capacity.occupied,
                               (capacity.arriving_work + capacity.occupied) / 2),
                      now);
+  if (present > plan.most_present) {
+    plan.most_present = present;
+    plan.grown_at = now;
+  }
   if (now - plan.first_seen < kDiscoveryTime) {
     return {};
   }
   if (plan.subjects.empty()) {
+    // Without an order, the servers that are present are what the plan starts
+    // from, so all of them must be known.
+    if (!IsAllOrdered(capacity) && now - plan.grown_at < kDiscoveryTime) {
+      return {};
+    }
     plan.initial_servers = InitialServers(capacity, settings_.change_fraction);
   }
   AddSubjects(capacity, now, &plan);
--- a/camphorsail/scaling/capacity_planner.h
+++ b/camphorsail/scaling/capacity_planner.h
@@ -50,6 +50,9 @@
 
     MonoTime first_seen;
     DemandHistory demand;
+    /// Highest number of present servers, and when it last grew.
+    int most_present = 0;
+    MonoTime grown_at;
     /// Servers that an earlier holder of the duties, or the operators before
     /// the first order, found necessary.
     int initial_servers = 0;
--- a/tests/unit/scaling/capacity_planner_test.cc
+++ b/tests/unit/scaling/capacity_planner_test.cc
@@ -95,6 +95,17 @@
   EXPECT_LE(span.orders, 9);
 }
 
+// Load: start of a deployment whose servers announce themselves one failure
+// domain after the other. Guards against orders for as many as are known first.
+TEST(CapacityPlannerTest, WaitsForAllServersBeforeTheFirstOrder) {
+  PlannedService service = StartService();
+  service.fleet().SetStart(Domain('b'), service.Now() + absl::Seconds(2.5));
+  service.fleet().SetStart(Domain('c'), service.Now() + absl::Seconds(5));
+  service.RunUntil(6);
+  const PlannedService::Span span = service.RunUntil(kTrafficAt);
+  EXPECT_GE(span.min_present, kStart);
+}
+
 // Load: the same where both kinds together do not fit below the provider's
 // limit. Guards against a change of kind that waits for ever for servers that
 // cannot be ordered.
@@ -158,7 +169,7 @@
   span = service.RunUntil(kFailureAt + 120);
   EXPECT_GE(span.min_present, kStart);
   EXPECT_LE(span.max_present, kStart + 2 * kChange);
-  // No failure domain has all eggs again.
+  // The reserve for the loss of a failure domain is there again.
   EXPECT_GE(service.fleet().Present(Subject('a', ServerTenure::kReclaimable),
                                     service.Now()),
             6);
--- a/tests/unit/scaling/fake_fleet.h
+++ b/tests/unit/scaling/fake_fleet.h
@@ -53,6 +53,13 @@
     return ProviderOutcome::kAccepted;
   }
 
+  /// Sets when the regular servers of a failure domain start to serve.
+  void SetStart(const FailureDomainId& domain, MonoTime at) {
+    for (Server& server :
+         servers_[{service_, domain, ServerTenure::kRegular}]) {
+      server.ready_at = at;
+    }
+  }
   /// Reclaims all reclaimable servers of a failure domain.
   void Reclaim(const FailureDomainId& domain, MonoTime now) {
     for (Server& server :
