--- a/camphorsail/scaling/capacity_planner.cc
+++ b/camphorsail/scaling/capacity_planner.cc
@@ -47,6 +47,12 @@
   return subject;
 }
 
+/// @return The count below which no order may lead. Regular servers alone keep
+/// the provider's lower limit.
+int SmallestCount(const ScalingProfile& scaling, ServerTenure tenure) {
+  return tenure == ServerTenure::kRegular ? scaling.min_servers : 0;
+}
+
 /// @return Planned servers beyond the target, which are given back or
 /// exchanged.
 int Excess(const SubjectPlan& subject, int target) {
@@ -117,7 +123,8 @@
       }
       const TenureSupply& servers = supply.Of(tenure);
       SubjectPlan& subject = it->second;
-      subject.count = servers.ordered.value_or(servers.present);
+      subject.count = std::max(servers.ordered.value_or(servers.present),
+                               SmallestCount(capacity.scaling, tenure));
       subject.ordered = servers.ordered;
       // When the last order was sent is not known; its servers may be starting.
       subject.ordered_at = now;
@@ -153,7 +160,8 @@
       const int had =
           is_starting ? std::max(servers.present, subject.ordered.value_or(0))
                       : servers.present;
-      subject.count = std::min(subject.count, had);
+      subject.count = std::max(std::min(subject.count, had),
+                               SmallestCount(capacity.scaling, key.tenure));
     }
     if (subject.present >= subject.count * kLossFraction) {
       subject.missing_since.reset();
--- a/tests/unit/scaling/capacity_planner_test.cc
+++ b/tests/unit/scaling/capacity_planner_test.cc
@@ -386,6 +386,21 @@
   EXPECT_LE(span.orders, 2);
 }
 
+// Load: a failure domain loses all its servers, and none can be had for a
+// while. Guards against an order below the provider's lower limit, which is
+// checked with every order.
+TEST(CapacityPlannerTest, ALostFailureDomainKeepsTheLowerLimit) {
+  PlannedService service = BusyService();
+  SetDryEverywhere(ServerTenure::kRegular, 30, &service);
+  service.fleet().Crash(Subject('a', ServerTenure::kRegular), kStartPerDomain);
+  service.fleet().Reclaim(Domain('a'), service.Now());
+  service.RunUntil(kFailureAt + 60);
+  EXPECT_GE(service.fleet().Present(Subject('a', ServerTenure::kRegular),
+                                    service.Now()),
+            service.fleet().scaling().min_servers);
+  EXPECT_GE(Present(service), kNeed);
+}
+
 // Load: servers become slow, so that each takes 1.8 times as long. Guards
 // against a plan that counts requests only.
 TEST(CapacityPlannerTest, SlowServersAreReinforced) {
