--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -66,6 +66,7 @@
   BackendFleet& fleet() { return fleet_; }
   RefusalOutbox& refusals() { return refusals_; }
   UsageMeter& usage() { return usage_; }
+  TrueClock& true_clock() { return true_clock_; }
   /// Takes the true time that a replica tells, see `TrueClock`.
   void OnTrueTime(const VmId& replica, absl::Time time) {
     true_clock_.OnReading(replica, time, loop_->now());
@@ -207,6 +208,9 @@
   void RecordFirstAnswer(Exchange* exchange);
   /// Counts the request as begun, unless it is counted already.
   void CountUsage(Exchange* exchange);
+  /// Counts a request whose attempt ended without an answer, if it lasted until
+  /// its first token was expected.
+  void CountIfBegun(Exchange* exchange);
   /// Forwards the complete events of a stream to the caller.
   void ForwardEvents(Exchange* exchange, std::string_view data);
   /// Records a new request in the model of its service, and adds its expected
--- a/camphorsail/gateway/gateway_answer.cc
+++ b/camphorsail/gateway/gateway_answer.cc
@@ -122,6 +122,7 @@
   if (size > settings_.answers.max_answer_bytes ||
       !attempt.held->Charge(
           attempt.body.capacity() + attempt.events.rest().capacity(), now)) {
+    CountUsage(exchange);
     RetryOrRefuse(exchange, "answer_too_large", /*may_have_run=*/true,
                   /*timed_out=*/false);
   }
@@ -135,6 +136,7 @@
   Exchange* exchange = found->second.get();
   if (exchange->attempt.has_value() && !exchange->is_held &&
       exchange->attempt->held->is_given_up()) {
+    CountUsage(exchange);
     RetryOrRefuse(exchange, "answer_too_large",
                   /*may_have_run=*/true, /*timed_out=*/false);
   }
@@ -176,13 +178,23 @@
 }
 
 void Gateway::CountUsage(Exchange* exchange) {
+  // Replicas tell the time if they take usage.
   if (!settings_.usage.IsCounted() || exchange->account.value().empty() ||
-      std::exchange(exchange->is_counted, true)) {
+      !true_clock_.HasReading() || std::exchange(exchange->is_counted, true)) {
     return;
   }
   usage_.OnRequestBegun(exchange->account, true_clock_.At(loop_->now()));
 }
 
+void Gateway::CountIfBegun(Exchange* exchange) {
+  // An attempt that broke off later than its first token was expected has most
+  // likely begun to run.
+  if (loop_->now() - exchange->attempt->started_at >=
+      exchange->attempt->expected) {
+    CountUsage(exchange);
+  }
+}
+
 void Gateway::ForwardEvents(Exchange* exchange, std::string_view data) {
   ExchangeAttempt& attempt = *exchange->attempt;
   const uint64_t before = attempt.events.count();
@@ -246,6 +258,7 @@
   }
   if (!attempt.reply.is_signed && !exchange->streaming) {
     // Without a signature, it is not known whether the server ran the request.
+    CountIfBegun(exchange);
     RetryOrRefuse(exchange, absl::StrCat("unsigned_", status),
                   /*may_have_run=*/true,
                   /*timed_out=*/false);
@@ -259,6 +272,7 @@
     return;
   }
   if (IsStreamCut(*exchange)) {
+    CountIfBegun(exchange);
     OnBroken(exchange, "cut_event");
     return;
   }
@@ -271,6 +285,7 @@
     caller->SendEnd();
     return;
   }
+  CountUsage(exchange);
   // A 5xx answer of the server is retried if possible, and else forwarded.
   if (status >= 500 && MayTryAgain(*exchange, exchange->possible_runs + 1) &&
       RetryBudgetOf(exchange->service->name)
@@ -286,7 +301,6 @@
       RecordSettled(exchange);
     }
   } else {
-    CountUsage(exchange);
     RecordFailure(attempt.server.get(), absl::StrCat("status_", status),
                   /*unreachable=*/false);
   }
@@ -306,6 +320,9 @@
     RecordFailure(exchange->attempt->server.get(), ToString(failure),
                   /*unreachable=*/true);
   }
+  if (sent) {
+    CountIfBegun(exchange);
+  }
   if (failure == BackendFailure::kBroken && sent) {
     OnBroken(exchange, ToString(failure));
     return;
@@ -378,11 +395,6 @@
   ExchangeAttempt& attempt = *exchange->attempt;
   const bool rejected = attempt.reply.not_run;
   if (may_have_run) {
-    // An attempt that broke off later than its first token was expected has
-    // most likely begun to run.
-    if (!timed_out && now - attempt.started_at >= attempt.expected) {
-      CountUsage(exchange);
-    }
     ++exchange->possible_runs;
     RecordFailure(attempt.server.get(), failure, /*unreachable=*/false);
   }
--- a/camphorsail/runtime/daemon.cc
+++ b/camphorsail/runtime/daemon.cc
@@ -454,9 +454,10 @@
       return;
     }
     case PeerChannel::kUsage: {
-      if (const auto usages =
-              UnpackBytes<std::vector<GatewayUsage>>(message.payload)) {
-        duty_feed_.OnReplicaUsage(*usages, now);
+      if (const auto forward = UnpackBytes<UsageForward>(message.payload)) {
+        if (const auto answer = duty_feed_.OnForward(*forward, now)) {
+          SendUsage(from, *answer);
+        }
       }
       return;
     }
--- a/camphorsail/runtime/daemon.h
+++ b/camphorsail/runtime/daemon.h
@@ -125,6 +125,7 @@
   /// Forwards usage counts to the leader, or, on the leader, tells the control
   /// path what the duties ask for.
   void StepDuties(MonoTime now);
+  void SendUsage(const VmId& to, const UsageForward& forward);
   void CallProvider(const ProviderCall& call);
   /// Removes peers that have been unreachable for a long time.
   void RemoveUnreachablePeers(MonoTime now);
--- a/camphorsail/runtime/daemon_platform.cc
+++ b/camphorsail/runtime/daemon_platform.cc
@@ -129,40 +129,47 @@
   next_duty_step_ = now + kDutyStepInterval;
   VmId leader;
   bool is_leader = false;
-  DutyStore store;
+  DutyFeed::LeaderState state;
   Ref<SharedRoutingTable> table;
   control_->Inspect([&](const ControlNode& node) {
     leader = node.replica().LeaderHint();
     is_leader = node.replica().role() == ReplicaRole::kLeader;
+    state.term = node.replica().term();
+    const DutyStore& store = node.state().duties();
+    state.agreed = store.settled_windows();
+    for (const auto& [number, window] : store.open_windows()) {
+      state.agreed.insert(number);
+    }
     if (is_leader) {
-      store = node.state().duties();
+      state.orders = store.orders();
       table = node.state().routing();
     }
   });
   if (!is_leader) {
-    duty_feed_.OnNotLeading();
-    if (!duties.usage || leader.value().empty()) {
-      return;
-    }
-    const std::vector<GatewayUsage> usages =
-        duty_feed_.UsageToForward(leader, now);
-    if (!usages.empty()) {
-      PeerMessage message;
-      message.channel = PeerChannel::kUsage;
-      message.payload = PackBytes(usages);
-      message.replaceable = true;
-      SendTo(leader, std::move(message));
+    const UsageForward forward =
+        duty_feed_.StepFollower(state.term, state.agreed, now);
+    if (!forward.usages.empty() && !leader.value().empty()) {
+      SendUsage(leader, forward);
     }
     return;
   }
   const GatewayGroupLoad load = gateways_.TotalLoad();
   DutyInputs inputs;
   directory_.Inspect([&](const ServerRegistry& registry) {
-    inputs = duty_feed_.MakeInputs(registry, table->table, store, load, now);
+    inputs = duty_feed_.MakeInputs(registry, table->table, state, load, now);
   });
   control_->Post(DutyInputsEvent{std::move(inputs)});
 }
 
+void Daemon::SendUsage(const VmId& to, const UsageForward& forward) {
+  PeerMessage message;
+  message.channel = PeerChannel::kUsage;
+  message.payload = PackBytes(forward);
+  // What is not acknowledged is forwarded again.
+  message.replaceable = true;
+  SendTo(to, std::move(message));
+}
+
 void Daemon::CallProvider(const ProviderCall& call) {
   if (provider_sender_ == nullptr) {
     LogEvent("provider_unknown", LogLevel::kError);
--- a/camphorsail/runtime/duty_feed.cc
+++ b/camphorsail/runtime/duty_feed.cc
@@ -43,15 +43,26 @@
 
 void DutyFeed::OnGatewayUsage(const GatewayUsage& usage, MonoTime now) {
   absl::MutexLock lock(&mutex_);
-  usage_.Merge(usage, now);
+  usage_.Merge(usage, clock_.At(now));
 }
 
-void DutyFeed::OnReplicaUsage(const std::vector<GatewayUsage>& usages,
-                              MonoTime now) {
+std::optional<UsageForward> DutyFeed::OnForward(const UsageForward& forward,
+                                                MonoTime now) {
   absl::MutexLock lock(&mutex_);
-  for (const GatewayUsage& usage : usages) {
-    usage_.Merge(usage, now);
+  if (forward.is_acknowledgement) {
+    if (forward.term == forwarded_in_) {
+      usage_.OnAcknowledged(forward.sequence);
+    }
+    return std::nullopt;
+  }
+  const absl::Time true_now = clock_.At(now);
+  for (const GatewayUsage& usage : forward.usages) {
+    usage_.Merge(usage, true_now);
   }
+  if (forward.term != leading_term_) {
+    return std::nullopt;
+  }
+  return UsageForward{forward.term, forward.sequence, true, {}};
 }
 
 void DutyFeed::OnClock(const VmId& vm, absl::Time wall, MonoTime now) {
@@ -64,51 +75,72 @@
   return clock_.At(now);
 }
 
-std::vector<GatewayUsage> DutyFeed::UsageToForward(const VmId& leader,
-                                                   MonoTime now) {
+UsageForward DutyFeed::StepFollower(TermNumber term,
+                                    const std::set<UsageWindowNumber>& agreed,
+                                    MonoTime now) {
   absl::MutexLock lock(&mutex_);
-  if (std::exchange(forwarded_to_, leader) != leader) {
-    return usage_.AllCounts();
+  planner_.reset();
+  leading_since_.reset();
+  leading_term_ = TermNumber();
+  if (!CountsUsage()) {
+    return {};
   }
-  return usage_.RecentChanges(now);
+  TidyUsage(agreed, now);
+  if (std::exchange(forwarded_in_, term) != term) {
+    usage_.ForwardAll();
+  }
+  return usage_.UnacknowledgedChanges(term);
 }
 
-std::vector<UsageWindow> DutyFeed::CloseWindows(MonoTime now) {
-  if (!usage_settings_.IsCounted() || !duties_.usage ||
-      now - *leading_since_ < kCollectTime) {
+std::vector<UsageWindow> DutyFeed::CloseWindows(
+    const std::set<UsageWindowNumber>& agreed,
+    MonoTime now) {
+  if (!CountsUsage()) {
+    return {};
+  }
+  TidyUsage(agreed, now);
+  usage_.ForwardNothing();
+  forwarded_in_ = TermNumber();
+  if (now - *leading_since_ < kCollectTime) {
     return {};
   }
-  std::vector<UsageWindow> closed = usage_.ClosedWindows(clock_.At(now));
-  for (const UsageCollector::LateCount& late : usage_.TakeLateCounts()) {
+  return usage_.ClosedWindows(clock_.At(now), agreed);
+}
+
+void DutyFeed::TidyUsage(const std::set<UsageWindowNumber>& agreed,
+                         MonoTime now) {
+  usage_.RemoveOldWindows(clock_.At(now), agreed);
+  for (const LateUsage::Item& late : usage_.TakeLate()) {
     LogEvent("usage_late", LogLevel::kWarning)
         .Add("window", late.window.value())
-        .Add("account", late.account)
-        .Add("requests", late.requests);
+        .Add("account", late.usage.account)
+        .Add("requests", late.usage.requests);
   }
-  return closed;
 }
 
 DutyInputs DutyFeed::MakeInputs(const ServerRegistry& registry,
                                 const RoutingTable& table,
-                                const DutyStore& store,
+                                const LeaderState& state,
                                 const GatewayGroupLoad& load,
                                 MonoTime now) {
   absl::MutexLock lock(&mutex_);
-  if (!leading_since_.has_value()) {
+  if (!leading_since_.has_value() || leading_term_ != state.term) {
     leading_since_ = now;
+    leading_term_ = state.term;
     planner_.emplace(CapacityPlannerSettings());
+    usage_.ReopenWindows();
   }
   DutyInputs inputs;
-  inputs.closed_windows = CloseWindows(now);
+  inputs.closed_windows = CloseWindows(state.agreed, now);
   if (duties_.server_orders && load.gateways > 0) {
-    inputs.wanted_servers = PlanServers(registry, table, store, load, now);
+    inputs.wanted_servers = PlanServers(registry, table, state, load, now);
   }
   return inputs;
 }
 
 std::vector<WantedServers> DutyFeed::PlanServers(const ServerRegistry& registry,
                                                  const RoutingTable& table,
-                                                 const DutyStore& store,
+                                                 const LeaderState& state,
                                                  const GatewayGroupLoad& load,
                                                  MonoTime now) {
   std::map<ModelId, ServiceCapacity> services;
@@ -148,7 +180,7 @@
                 &service->second.domains[description.failure_domain]);
     }
   }
-  for (const auto& [subject, order] : store.orders()) {
+  for (const auto& [subject, order] : state.orders) {
     const auto service = services.find(subject.service);
     if (service != services.end() &&
         subject.tenure == ServerTenure::kReclaimable) {
@@ -182,10 +214,4 @@
   }
 }
 
-void DutyFeed::OnNotLeading() {
-  absl::MutexLock lock(&mutex_);
-  planner_.reset();
-  leading_since_.reset();
-}
-
 }  // namespace camphorsail
--- a/camphorsail/runtime/duty_feed.h
+++ b/camphorsail/runtime/duty_feed.h
@@ -1,7 +1,9 @@
 #ifndef CAMPHORSAIL_RUNTIME_DUTY_FEED_H_
 #define CAMPHORSAIL_RUNTIME_DUTY_FEED_H_
 
+#include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "absl/base/thread_annotations.h"
@@ -32,33 +34,48 @@
   explicit DutyFeed(const Options& options);
 
   /// @return True when gateways report usage to this replica.
-  bool CountsUsage() const { return usage_settings_.IsCounted(); }
+  bool CountsUsage() const {
+    return usage_settings_.IsCounted() && duties_.usage;
+  }
 
   void OnGatewayUsage(const GatewayUsage& usage, MonoTime now);
-  /// Takes counts that another replica forwards.
-  void OnReplicaUsage(const std::vector<GatewayUsage>& usages, MonoTime now);
+  /// Takes counts that another replica forwards, or its acknowledgement of
+  /// counts that this one has forwarded.
+  /// @return The acknowledgement to send; nothing when this replica does not
+  /// lead in the sender's term.
+  std::optional<UsageForward> OnForward(const UsageForward& forward,
+                                        MonoTime now);
   /// Takes the wall clock of a replica, this one included.
   void OnClock(const VmId& vm, absl::Time wall, MonoTime now);
   /// @return Estimate of true time.
   absl::Time TrueTime(MonoTime now);
 
-  /// @param leader VM that reports usage.
-  /// @return The counts to forward to it.
-  std::vector<GatewayUsage> UsageToForward(const VmId& leader, MonoTime now);
+  /// To be called on a replica that does not lead, at any interval.
+  /// @param agreed Windows whose reports are fixed.
+  /// @return The counts to forward to the leader.
+  UsageForward StepFollower(TermNumber term,
+                            const std::set<UsageWindowNumber>& agreed,
+                            MonoTime now);
 
+  /// The replicated state on which the inputs of the duties depend.
+  struct LeaderState {
+    /// Term in which this replica leads.
+    TermNumber term;
+    /// Windows whose reports are fixed.
+    std::set<UsageWindowNumber> agreed;
+    std::map<ServerOrderSubject, AcceptedOrder> orders;
+  };
   /// Builds the inputs of the duties. To be called on the leader, at any
   /// interval.
   DutyInputs MakeInputs(const ServerRegistry& registry,
                         const RoutingTable& table,
-                        const DutyStore& store,
+                        const LeaderState& state,
                         const GatewayGroupLoad& load,
                         MonoTime now);
   /// Records the end of a call to the provider.
   void OnCallEnded(const ProviderCall& call,
                    ProviderOutcome outcome,
                    MonoTime now);
-  /// Records that this replica does not lead.
-  void OnNotLeading();
 
  private:
   /// Time after which a new leader has the counts of all replicas.
@@ -66,11 +83,15 @@
 
   std::vector<WantedServers> PlanServers(const ServerRegistry& registry,
                                          const RoutingTable& table,
-                                         const DutyStore& store,
+                                         const LeaderState& state,
                                          const GatewayGroupLoad& load,
                                          MonoTime now)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-  std::vector<UsageWindow> CloseWindows(MonoTime now)
+  std::vector<UsageWindow> CloseWindows(
+      const std::set<UsageWindowNumber>& agreed,
+      MonoTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  /// Removes old windows and logs what no report will contain.
+  void TidyUsage(const std::set<UsageWindowNumber>& agreed, MonoTime now)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
   const ProviderDuties duties_;
@@ -81,8 +102,10 @@
   /// Only on the leader; a new leader has a new planner.
   std::optional<CapacityPlanner> planner_ ABSL_GUARDED_BY(mutex_);
   std::optional<MonoTime> leading_since_ ABSL_GUARDED_BY(mutex_);
-  /// The replica to which counts were forwarded last.
-  VmId forwarded_to_ ABSL_GUARDED_BY(mutex_);
+  /// Term in which this replica leads; zero when it does not.
+  TermNumber leading_term_ ABSL_GUARDED_BY(mutex_);
+  /// Term to whose leader counts were forwarded last.
+  TermNumber forwarded_in_ ABSL_GUARDED_BY(mutex_);
 };
 
 }  // namespace camphorsail
--- a/camphorsail/runtime/gateway_daemon.cc
+++ b/camphorsail/runtime/gateway_daemon.cc
@@ -61,6 +61,7 @@
   settings.answers = AnswerBudgetSettings::For(options.memory_limit_bytes);
   settings.retries = MakeRetrySettings(options);
   settings.usage.window = options.usage_window;
+  settings.usage.report_delay = options.usage_report_delay;
   settings.seed = RandomSeed();
   return settings;
 }
@@ -122,6 +123,10 @@
         if (connected) {
           loop_.Post([this, peer] {
             SendDigest(peer);
+            if (peer == usage_replica_) {
+              // The replica may have restarted without its counts.
+              usage_replica_ = VmId();
+            }
             if (!lease_.IsValid(loop_.now())) {
               SendPoll(peer);
             }
@@ -235,10 +240,17 @@
 
 std::vector<UsageCount> GatewayDaemon::TakeUsage(const VmId& to,
                                                  uint64_t token) {
+  UsageMeter& usage = gateway_.usage();
   if (std::exchange(usage_replica_, to) != to) {
-    gateway_.usage().ReportAll();
+    usage.ReportAll(gateway_.true_clock().At(loop_.now()));
+  }
+  for (const LateUsage::Item& dropped : usage.TakeDropped()) {
+    LogEvent("usage_late", LogLevel::kWarning)
+        .Add("window", dropped.window.value())
+        .Add("account", dropped.usage.account)
+        .Add("requests", dropped.usage.requests);
   }
-  return gateway_.usage().TakeReport(token);
+  return usage.TakeReport(token);
 }
 
 void GatewayDaemon::SendDigest(const VmId& to) {
@@ -293,8 +305,8 @@
   if (update.token != 0) {
     last_answer_at_ = loop_.now();
     gateway_.refusals().OnAnswered(update.token);
-    gateway_.usage().OnAnswered(update.token);
     if (update.true_micros != 0) {
+      gateway_.usage().OnAnswered(update.token);
       gateway_.OnTrueTime(from, absl::FromUnixMicros(update.true_micros));
     }
     gateway_.fleet().OnOtherGatewaysLoads(update.loads, loop_.now());
@@ -372,7 +384,9 @@
 void GatewayDaemon::CheckDrained() {
   const absl::Duration limit = options_.drain_timeout - kExitMargin;
   all_requests_finished_ = gateway_.IsIdle() && gateway_.AreAnswersTaken();
-  if (all_requests_finished_ || loop_.now() - drain_started_at_ >= limit) {
+  const bool is_finished =
+      all_requests_finished_ && gateway_.usage().IsReported();
+  if (is_finished || loop_.now() - drain_started_at_ >= limit) {
     gateway_.EndDrain();
     // The last answers may not have been written yet.
     loop_.RunAt(loop_.now() + kDrainCheckInterval, [this] { loop_.Stop(); });
--- a/camphorsail/usage/usage_count.h
+++ b/camphorsail/usage/usage_count.h
@@ -32,6 +32,22 @@
   MSGPACK_DEFINE(gateway, process, counts)
 };
 
+/// Message between a replica and the leader: counts that the replica forwards,
+/// or the leader's acknowledgement of them.
+struct UsageForward {
+  /// Term of the leader. A leader that has restarted leads in another term, so
+  /// that it gets all counts again.
+  TermNumber term;
+  /// Position of the latest forwarded change in the order in which the replica
+  /// took them, see `UsageCollector`.
+  uint64_t sequence = 0;
+  bool is_acknowledgement = false;
+  std::vector<GatewayUsage> usages;
+
+  friend bool operator==(const UsageForward&, const UsageForward&) = default;
+  MSGPACK_DEFINE(term, sequence, is_acknowledgement, usages)
+};
+
 }  // namespace camphorsail
 
 #endif  // CAMPHORSAIL_USAGE_USAGE_COUNT_H_
--- a/camphorsail/usage/usage_settings.h
+++ b/camphorsail/usage/usage_settings.h
@@ -16,6 +16,9 @@
   /// Part of `report_delay` after which a window closes. The rest is for the
   /// agreement on the report, for a failover of its sender, and for repeats.
   static constexpr double kCloseFraction = 0.4;
+  /// Windows without an agreed report that replicas keep, and windows with
+  /// counts that no replica has that gateways keep.
+  static constexpr int64_t kMaxOldWindows = 128;
 
   bool IsCounted() const { return window > absl::ZeroDuration(); }
   UsageWindowNumber WindowAt(absl::Time time) const {
@@ -29,6 +32,20 @@
   absl::Time CloseTimeOf(UsageWindowNumber number) const {
     return EndOf(number) + report_delay * kCloseFraction;
   }
+  /// @return Time after which the counts of an agreed window are dropped. Until
+  /// then counts that arrive late are told from repeated ones.
+  absl::Time ExpiryOf(UsageWindowNumber number) const {
+    return EndOf(number) + report_delay;
+  }
+  /// @return True for a window that no gateway can be counting in, or that is
+  /// too old to be reported. One window ahead is allowed, because the clocks of
+  /// gateways and replicas differ a little.
+  bool IsImplausible(UsageWindowNumber number, absl::Time true_now) const {
+    const int64_t current = WindowAt(true_now).value();
+    return number.value() > current + 1 ||
+           (ExpiryOf(number) < true_now &&
+            number.value() < current - kMaxOldWindows);
+  }
 };
 
 }  // namespace camphorsail
--- a/tests/unit/gateway/gateway_test.cc
+++ b/tests/unit/gateway/gateway_test.cc
@@ -68,6 +68,7 @@
     settings.pool.source_ip = "127.0.0.1";
     settings.retries.slack = 100;
     settings.answers.max_answer_bytes = 1 << 20;
+    settings.usage.window = absl::Seconds(5);
     return settings;
   }
   static void AddRoute(RoutingTable* table,
@@ -138,6 +139,26 @@
   bool WaitFor(RawSocket* caller, const std::string& text) {
     return driver_.RunUntil([&] { return caller->Has(text); });
   }
+  /// Lets the gateway learn how long the servers take for an answer.
+  void LearnAnswerTime(absl::Duration time) {
+    for (int i = 0; i < 8; ++i) {
+      RawSocket caller = Call("/unsafe/x");
+      RawSocket* server = NextAttempt();
+      ASSERT_NE(server, nullptr);
+      driver_.RunFor(time);
+      server->Write(Answer("200 OK", kSigned, "done"));
+      ASSERT_TRUE(WaitFor(&caller, "done"));
+    }
+  }
+  /// @return Requests of all accounts that were counted as begun so far.
+  uint64_t CountedRequests() {
+    uint64_t requests = 0;
+    for (const UsageCount& count : gateway_.usage().TakeReport(1)) {
+      EXPECT_EQ(count.account, ClientAccountId("acc"));
+      requests += count.requests;
+    }
+    return requests;
+  }
 
   std::array<FakeServer, 2> servers_;
   LoopDriver driver_;
@@ -788,5 +809,82 @@
   }
 }
 
+// Guards against usage that lacks a request whose server says that it ran, or
+// that has a request twice that was attempted twice.
+TEST_F(GatewayTest, UsageCountsEachRequestThatBeganOnce) {
+  gateway_.OnTrueTime(VmId("r1"), absl::FromUnixSeconds(1'000'000'000));
+  RawSocket whole = Call("/unsafe/x");
+  NextAttempt()->Write(Answer("404 Not Found", kSigned, "none"));
+  ASSERT_TRUE(WaitFor(&whole, "none"));
+  EXPECT_EQ(CountedRequests(), 1u);
+
+  RawSocket resumed = Call("/stream/x");
+  RawSocket* server = NextAttempt();
+  server->Write(StreamHead("one") + "10\r\nid: 0\ndata: a\n\n\r\n");
+  ASSERT_TRUE(WaitFor(&resumed, "data: a\n\n"));
+  EXPECT_EQ(CountedRequests(), 2u) << "counted at the first event";
+  server->Reset();
+  NextAttempt()->Write(StreamHead("two") +
+                       "f\r\nid: 1\ndata: b\n\n\r\n0\r\n\r\n");
+  ASSERT_TRUE(WaitFor(&resumed, "\r\n0\r\n\r\n"));
+  EXPECT_EQ(CountedRequests(), 2u) << "resumed streams count once";
+}
+
+// The server of the first attempt says that it ran the request, the other one
+// says that it did not.
+TEST_F(GatewayTest, UsageCountsAnErrorThatIsRetriedInVain) {
+  LearnAnswerTime(absl::Milliseconds(60));
+  gateway_.OnTrueTime(VmId("r1"), absl::FromUnixSeconds(1'000'000'000));
+  RawSocket caller = Call("/safe/x");
+  NextAttempt()->Write(Answer("500 Error", kSigned, "sorry"));
+  RawSocket* second = NextAttempt();
+  ASSERT_NE(second, nullptr);
+  second->Write(Answer("503 Busy", "X-Not-Run: 1\r\n", ""));
+  ASSERT_TRUE(WaitFor(&caller, "HTTP/1.1 5"));
+  EXPECT_EQ(CountedRequests(), 1u);
+}
+
+// A connection that breaks before the answer was expected tells nothing.
+TEST_F(GatewayTest, UsageCountsABreakAfterTheAnswerWasExpected) {
+  LearnAnswerTime(absl::Milliseconds(60));
+  gateway_.OnTrueTime(VmId("r1"), absl::FromUnixSeconds(1'000'000'000));
+  RawSocket early = Call("/unsafe/x");
+  NextAttempt()->Reset();
+  ASSERT_TRUE(WaitFor(&early, "HTTP/1.1 502"));
+  EXPECT_EQ(CountedRequests(), 0u);
+  RawSocket late = Call("/unsafe/x");
+  RawSocket* server = NextAttempt();
+  ASSERT_NE(server, nullptr);
+  driver_.RunFor(absl::Milliseconds(120));
+  server->Reset();
+  ASSERT_TRUE(WaitFor(&late, "HTTP/1.1 502"));
+  EXPECT_EQ(CountedRequests(), 1u);
+}
+
+TEST_F(GatewayTest, UsageLeavesOutWhatDidNotBegin) {
+  gateway_.OnTrueTime(VmId("r1"), absl::FromUnixSeconds(1'000'000'000));
+  RawSocket refused = Call("/unsafe/x");
+  for (int i = 0; i < 2; ++i) {
+    RawSocket* server = NextAttempt();
+    ASSERT_NE(server, nullptr);
+    server->Write(Answer("503 Busy", "X-Not-Run: 1\r\n", ""));
+  }
+  ASSERT_TRUE(WaitFor(&refused, "HTTP/1.1 503"));
+  RawSocket unknown = Call("/safe/x", "X-Key: other\r\n");
+  ASSERT_TRUE(WaitFor(&unknown, "HTTP/1.1 401"));
+  RawSocket silent = Call("/unsafe/x");
+  ASSERT_NE(NextAttempt(), nullptr);
+  ASSERT_TRUE(WaitFor(&silent, "HTTP/1.1 504"));
+  EXPECT_EQ(CountedRequests(), 0u);
+}
+
+// A gateway that does not know the true time yet cannot tell the window.
+TEST_F(GatewayTest, UsageIsNotCountedWithoutTheTime) {
+  RawSocket caller = Call("/unsafe/x");
+  NextAttempt()->Write(Answer("200 OK", kSigned, "done"));
+  ASSERT_TRUE(WaitFor(&caller, "done"));
+  EXPECT_EQ(CountedRequests(), 0u);
+}
+
 }  // namespace
 }  // namespace camphorsail
