--- a/camphorsail/peer/peer_frame.cc
+++ b/camphorsail/peer/peer_frame.cc
@@ -54,7 +54,7 @@
 
 bool IsKnownChannel(PeerChannel channel) {
   return channel >= PeerChannel::kConsensus &&
-         channel <= PeerChannel::kGatewayGroupLoad;
+         channel <= PeerChannel::kUsage;
 }
 
 }  // namespace camphorsail
--- a/tests/process/gateway_fleet.py
+++ b/tests/process/gateway_fleet.py
@@ -194,6 +194,9 @@
         self.processes = {}
         self.servers = []
         self.version = 0
+        # Further lines of the settings.
+        self.more_for_controls = []
+        self.more_for_gateways = []
         for name in ("peer", "announce", "admin"):
             with open(os.path.join(self.folder, name + ".secret"), "w", encoding="utf-8") as file:
                 file.write("0123456789abcdef0123456789abcdef")
@@ -228,13 +231,13 @@
             f"admin-listen = {ip}:{ADMIN_PORT}", f"announce-listen = {ip}:{ADMIN_PORT + 1}",
             f"platform-listen = {ip}:{PLATFORM_PORT}",
             "tolerated-losses = 1", "drain-delay-ms = 0", f"announce-secret-file = {self.folder}/announce.secret",
-            f"admin-secret-file = {self.folder}/admin.secret"])
+            f"admin-secret-file = {self.folder}/admin.secret"] + self.more_for_controls)
 
     def gateway_settings(self, i):
         ip = self.gateway_ip(i)
         return self._common(ip, "gateway", i) + [
             f"gateway-listen = {ip}:{CALLER_PORT}", f"ready-listen = {ip}:{READY_PORT}", "retry-ratio = 0.5",
-            "retry-slack = 200", "drain-delay-ms = 300"]
+            "retry-slack = 200", "drain-delay-ms = 300"] + self.more_for_gateways
 
     def start_gateway(self, i, more=(), stdout=None):
         self._spawn(f"gateway{i}", self.gateway_settings(i) + list(more), stdout)
