--- a/camphorsail/runtime/duty_feed.h
+++ b/camphorsail/runtime/duty_feed.h
@@ -101,6 +101,8 @@
   TrueClock clock_ ABSL_GUARDED_BY(mutex_);
   /// Only on the leader; a new leader has a new planner.
   std::optional<CapacityPlanner> planner_ ABSL_GUARDED_BY(mutex_);
+  /// Servers of each service in the last plan.
+  std::map<ModelId, int> planned_servers_ ABSL_GUARDED_BY(mutex_);
   std::optional<MonoTime> leading_since_ ABSL_GUARDED_BY(mutex_);
   /// Term in which this replica leads; zero when it does not.
   TermNumber leading_term_ ABSL_GUARDED_BY(mutex_);
