--- a/tests/soak/gateway_soak.py
+++ b/tests/soak/gateway_soak.py
@@ -4,7 +4,7 @@
 
 Processes are killed, paused, stopped and restarted, control VMs lose their disks one at a time, connections to servers
 are delayed, reset and silenced, servers leave and ask for pauses in their answers, tables change and keys are revoked
-meanwhile. Exit code 1 when a promise was broken.
+meanwhile. A provider takes usage reports, and is slow, down, or carries out calls late. Exit code 1 when a promise was broken.
 """
 
 import argparse
@@ -20,6 +20,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "process"))
 
+from fake_provider import FakeProvider  # noqa: E402
 from fault_proxy import FaultProxy  # noqa: E402
 from gateway_fleet import CONTROL_VMS, GATEWAYS, FakeServer, GatewayFleet, wait_until  # noqa: E402
 
@@ -34,12 +35,31 @@
 MOST_IN_A_PAUSE = 2
 # A VM with an empty disk votes again after at most this time.
 CATCH_UP_S = 6.0
+USAGE_WINDOW_S = 2
+USAGE_DELAY_S = 8
+PROVIDER_CALLS_PER_S = 10
+# What a report may lack.
+USAGE_TOLERANCE = 0.05
+# Time limit of a caller.
+CALLER_S = 6
+# All windows are reported at most so long after the last fault.
+REPORTS_S = 30
 
 
 class Soak:
     def __init__(self, binaries, seed):
         self.random = random.Random(seed)
         self.fleet = GatewayFleet(binaries)
+        self.provider = FakeProvider(PROVIDER_CALLS_PER_S, checks_tokens=self.random.random() < 0.5)
+        counting = [f"usage-window-s = {USAGE_WINDOW_S}", f"usage-report-delay-s = {USAGE_DELAY_S}"]
+        self.fleet.more_for_gateways = counting
+        self.fleet.more_for_controls = counting + [
+            f"provider-address = 127.0.0.1:{self.provider.port}", "provider-duties = usage",
+            f"provider-calls-per-s = {PROVIDER_CALLS_PER_S}", "duty-lease-ms = 1500",
+            f"provider-checks-fencing = {'true' if self.provider.checks_tokens else 'false'}"]
+        # From time.monotonic() to the time of usage windows.
+        self.wall_offset = time.time() - time.monotonic()
+        self.done_at = {}
         self.proxies = []
         self.stopping = threading.Event()
         self.lock = threading.Lock()
@@ -96,8 +116,9 @@
             with self.lock:
                 self.sent_at[request_id] = (sent, key, f"gateway{gateway}")
             status, text, whole = self.fleet.request(gateway, f"/{kind}/x", request_id, key=key, body=request_id,
-                                                     timeout=6)
+                                                     timeout=CALLER_S)
             with self.lock:
+                self.done_at[request_id] = time.monotonic()
                 self.results[request_id] = (kind, status)
                 self.counts[kind, status if whole else "cut"] += 1
             if status == 200 and whole:
@@ -165,6 +186,49 @@
     def was_disturbed(self, gateway, begin, end):
         return any(begin <= until and since <= end for since, until in self.disturbed[gateway])
 
+    def usage_bounds(self):
+        """@return By window: requests that surely began in it, and those that may have, as sets."""
+        surely, maybe = collections.defaultdict(set), collections.defaultdict(set)
+        ran = {run[1] for run in self.fleet.runs()}
+        for request_id, (sent, _, gateway) in self.sent_at.items():
+            if request_id not in ran:
+                continue
+            done = self.done_at.get(request_id, time.monotonic())
+            # A gateway that was suspended takes answers later.
+            late = CALLER_S if self.was_disturbed(gateway, sent, done) else 0.5
+            windows = [int((at + self.wall_offset) // USAGE_WINDOW_S) for at in (sent, done, done + late)]
+            if windows[0] == windows[1] and self.results[request_id][1] == 200:
+                surely[windows[0]].add(request_id)
+            for window in range(windows[0], windows[2] + 1):
+                maybe[window].add(request_id)
+        return surely, maybe
+
+    def check_usage(self):
+        """No window has two contents, and each report is within bounds."""
+        surely, maybe = self.usage_bounds()
+        end = time.monotonic() + REPORTS_S
+        while time.monotonic() < end and any(window not in self.provider.reported() for window in surely):
+            time.sleep(0.2)
+        for text in self.provider.faults():
+            self.fail(text)
+        reported = {window: contents[0].get("acc", 0) for window, contents in self.provider.reported().items()}
+        for window, requests in reported.items():
+            self.counts["usage", "reported"] += requests
+            # The requests before the callers are of the first windows.
+            if window in maybe and window > min(maybe) and requests > len(maybe[window]) + GATEWAYS:
+                self.fail(f"window {window}: {requests} reported, and at most {len(maybe[window])} began")
+        for window, requests in surely.items():
+            begin = window * USAGE_WINDOW_S - self.wall_offset
+            if any(self.was_disturbed(f"gateway{i}", begin, begin + USAGE_WINDOW_S + USAGE_DELAY_S)
+                   for i in range(1, GATEWAYS + 1)):
+                self.counts["usage", "windows disturbed"] += 1
+                continue
+            self.counts["usage", "windows checked"] += 1
+            if reported.get(window, 0) < (1 - USAGE_TOLERANCE) * len(requests):
+                self.fail(f"window {window}: {reported.get(window)} reported, and at least {len(requests)} began")
+        if self.provider.most_calls_in_a_second() > PROVIDER_CALLS_PER_S:
+            self.fail(f"{self.provider.most_calls_in_a_second()} calls to the provider in a second")
+
     # Faults.
 
     def paused(self, name, seconds):
@@ -196,7 +260,12 @@
         server = rng.choice(self.fleet.servers)
         fault = rng.choice(["kill_control", "kill_gateway", "term_gateway", "term_control", "pause_control",
                             "pause_gateway", "wipe", "reset", "silence", "delay", "refuse", "table", "table", "revoke",
-                            "hup", "says_leaving", "start_again", "full"])
+                            "hup", "says_leaving", "start_again", "full", "kill_holder", "pause_holder", "provider_slow",
+                            "provider_down", "provider_late"])
+        calls = self.provider.usage_calls()
+        if fault.endswith("_holder") and calls:
+            control = f"control{calls[-1].holder[-1]}"
+            fault = fault.replace("holder", "control")
         print(f"{time.monotonic() - self.began:7.2f} {fault} {control} {gateway}", flush=True)
         if fault == "kill_control":
             self.restart(control, signal.SIGKILL)
@@ -243,6 +312,13 @@
                 leaving.start_again()
         elif fault == "full":
             server.full_until = time.monotonic() + rng.uniform(0.5, 4)
+        elif fault.startswith("provider_"):
+            self.provider.slow_s = 1.0 if fault == "provider_slow" else 0.0
+            self.provider.late_s = rng.uniform(0.5, 4) if fault == "provider_late" else 0.0
+            self.provider.is_down = fault == "provider_down"
+            time.sleep(rng.uniform(1, 4))
+            self.provider.slow_s = self.provider.late_s = 0.0
+            self.provider.is_down = False
         elif fault == "hup":
             self.fleet.kill(rng.choice([control, gateway]), signal.SIGHUP)
 
@@ -276,6 +352,7 @@
             self.fail(f"table {self.acknowledged} was acknowledged, and {json.loads(text)['version']} is read back")
         self.check_runs()
         self.check_wishes()
+        self.check_usage()
 
 
 def main():
@@ -292,6 +369,7 @@
         soak.check_end()
         for proxy in soak.proxies:
             proxy.close()
+        soak.provider.close()
     finally:
         keep = options.keep or bool(soak.broken)
         soak.fleet.stop(keep=keep)
