Duties: review of the first version against what it promises

Found by reading and now tested; with the rule of the first version put back, the test named fails: - a report that was given up or settled long ago could be agreed again with other content (WindowThatIsGivenUpIsNotAgreedAgain); given-up reports are logged (usage_abandoned) - a call could stay on the wire after the lease of its holder (CallsEndWithTheLease); HttpCaller also discards data that is not acknowledged when it closes the connection or the process is suspended - after a 409 the same token was used again for the subject for longer than a lease (TokenIsNotUsedAgainAfterAConflict), and a report that met 409 was claimed and repeated at the full rate (ReportAfterAConflictHasAHigherToken) - an order without an answer was not followed by another when the wanted number went back to the accepted one (OrderWithoutAnAnswerIsFollowedByAnother) - results of an earlier term hid the order of a holder in between (LateResultOfAnEarlierTermIsNotTheLastOrder) - plans from before a suspension or an earlier leadership were carried out (OldInputsAreNotUsed) - a report or an order that failed kept all others waiting (CallsThatFailDoNotStopTheOthers) - settlements counted in the order of their commits, not of the calls (SettlementOfAnEarlierCallDoesNotReplaceALaterOne) - a flicker of the leadership proposed the claim again and raised the token (ClaimsOnceWhileTheOutcomeIsUnknown) - calls that the network delayed could arrive together above the rate (NoMoreThanTheRateCanArriveWithinOneSecond) - libcurl could wait for "100 Continue" on a long report and send it again after a 417

--- a/camphorsail/control/control_node.cc
+++ b/camphorsail/control/control_node.cc
@@ -116,7 +116,7 @@
     orders_.OnCallResult(*result, state_.orders(), &output);
     HandleOrders(std::move(output));
   } else if (const auto* inputs = std::get_if<DutyInputsEvent>(&event)) {
-    duties_.OnInputs(inputs->inputs);
+    duties_.OnInputs(inputs->inputs, now_);
   } else if (const auto* ended = std::get_if<ProviderCallEndedEvent>(&event)) {
     DutyDriver::Output output;
     duties_.OnCallEnded(ended->call_id, ended->outcome, now_, &output);
--- a/camphorsail/duties/duty_commands.h
+++ b/camphorsail/duties/duty_commands.h
@@ -44,11 +44,12 @@
 /// Command that records that the provider has accepted a server order.
 struct OrderSettlement {
   ServerOrder order;
-  /// Token of the call. A settlement of an earlier holder does not replace
-  /// that of a later one.
+  /// Token and id of the call. The settlement of an earlier call does not
+  /// replace that of a later one, whichever is committed first.
   DutyToken token;
+  uint64_t call_id = 0;
 
-  MSGPACK_DEFINE(order, token)
+  MSGPACK_DEFINE(order, token, call_id)
 };
 
 /// Command of an operator that stops or resumes the orders of a service.
--- a/camphorsail/duties/duty_driver.cc
+++ b/camphorsail/duties/duty_driver.cc
@@ -32,7 +32,10 @@
                            const DutyStore& store,
                            MonoTime now) {
   term_ = leadership.term;
+  first_call_of_term_ = next_id_;
+  reported_abandoned_ = store.abandoned_windows();
   proposed_.clear();
+  reports_ = CallHistory();
   reported_.clear();
   ordered_.clear();
   progress_.clear();
@@ -73,7 +76,6 @@
                          Output* output) {
   next_step_ = now + kStepInterval;
   if (!leadership.has_value()) {
-    proposed_.clear();
     return;
   }
   if (term_ != leadership->term) {
@@ -81,31 +83,42 @@
   }
   const DutyHolder& holder = store.holder();
   if (holder.claim != DutyClaim{vm_, process_, *term_} ||
-      holder.token <= rejected_token_) {
+      holder.token <= refused_token_) {
     if (!IsClaimProposed()) {
       claimed_at_ = now;
       Propose(DutyClaim{vm_, process_, *term_}, output);
     }
     return;
   }
+  if (now - inputs_at_ > kInputsLifetime) {
+    inputs_ = DutyInputs();
+  }
   ProposeAgreements(store, output);
+  if (store.abandoned_windows() > reported_abandoned_) {
+    output->notes.push_back(
+        {"usage_abandoned",
+         {{"windows",
+           absl::StrCat(store.abandoned_windows() - reported_abandoned_)}}});
+    reported_abandoned_ = store.abandoned_windows();
+  }
   const MonoTime act_until =
       leadership->quorum_contact + settings_.lease * settings_.lease_fraction;
   if (now < may_act_from_ || now >= act_until || !pacer_.MayCall(now) ||
       HasCallWithOtherToken(holder.token)) {
     return;
   }
-  std::optional<ProviderCall::Content> content = NextContent(store, now);
-  if (!content.has_value()) {
+  std::optional<DueCall> due = NextCall(store, now);
+  if (!due.has_value()) {
     return;
   }
   ProviderCall call;
   call.id = next_id_++;
   call.holder = vm_;
   call.token = holder.token;
-  call.content = *std::move(content);
+  call.content = std::move(due->content);
   call.send_before = act_until;
-  call.deadline = now + settings_.call_timeout;
+  // Nothing of the call may reach the provider after the lease.
+  call.deadline = std::min(now + settings_.call_timeout, act_until);
   pacer_.OnCall(now);
   calls_.emplace(call.id, call);
   output->calls.push_back(std::move(call));
@@ -129,52 +142,74 @@
   });
 }
 
-std::optional<ProviderCall::Content> DutyDriver::NextContent(
-    const DutyStore& store,
-    MonoTime now) {
-  if (const UsageWindow* window = NextReport(store); window != nullptr) {
-    return *window;
+bool DutyDriver::MayCall(const CallHistory& history,
+                         DutyToken token,
+                         MonoTime now) {
+  if (now < history.not_before) {
+    return false;
   }
-  if (std::optional<ServerOrder> order = NextOrder(store, now)) {
-    return *std::move(order);
+  if (token > history.conflict_token) {
+    return true;
   }
-  return std::nullopt;
+  if (now - claimed_at_ >= kConflictBackoff) {
+    refused_token_ = token;
+  }
+  return false;
+}
+
+std::optional<DutyDriver::DueCall> DutyDriver::NextCall(const DutyStore& store,
+                                                        MonoTime now) {
+  std::optional<DueCall> report = NextReport(store, now);
+  std::optional<DueCall> order = NextOrder(store, now);
+  if (!report.has_value() ||
+      (order.has_value() && order->failures < report->failures)) {
+    return order;
+  }
+  return report;
 }
 
-const UsageWindow* DutyDriver::NextReport(const DutyStore& store) const {
+std::optional<DutyDriver::DueCall> DutyDriver::NextReport(
+    const DutyStore& store,
+    MonoTime now) {
   const bool is_reporting =
       std::any_of(calls_.begin(), calls_.end(), [](const auto& item) {
         return std::holds_alternative<UsageWindow>(item.second.content);
       });
   if (!settings_.reports_usage || is_reporting) {
-    return nullptr;
+    return std::nullopt;
   }
   for (const auto& [number, window] : store.open_windows()) {
-    if (!reported_.contains(number)) {
-      return &window;
+    if (reported_.contains(number)) {
+      continue;
+    }
+    if (!MayCall(reports_, store.holder().token, now)) {
+      return std::nullopt;
     }
+    return DueCall{window, reports_.failures};
   }
-  return nullptr;
+  return std::nullopt;
 }
 
-std::optional<ServerOrder> DutyDriver::NextOrder(const DutyStore& store,
-                                                 MonoTime now) {
+std::optional<DutyDriver::DueCall> DutyDriver::NextOrder(const DutyStore& store,
+                                                         MonoTime now) {
   if (!settings_.orders_servers) {
     return std::nullopt;
   }
-  std::optional<ServerOrder> next;
+  std::optional<DueCall> next;
+  bool next_adds = false;
   for (const WantedServers& wanted : inputs_.wanted_servers) {
     const ServerOrderSubject& subject = wanted.order.subject;
     if (store.holds().contains(subject.service) || HasCallFor(subject) ||
         !NeedsOrder(wanted, store, now) ||
-        now < progress_[subject].not_before) {
+        !MayCall(progress_[subject].calls, store.holder().token, now)) {
       continue;
     }
-    if (wanted.order.count > wanted.present) {
-      return wanted.order;
-    }
-    if (!next.has_value()) {
-      next = wanted.order;
+    const int failures = progress_[subject].calls.failures;
+    const bool adds = wanted.order.count > wanted.present;
+    if (!next.has_value() || failures < next->failures ||
+        (failures == next->failures && adds && !next_adds)) {
+      next = DueCall{wanted.order, failures};
+      next_adds = adds;
     }
   }
   return next;
@@ -199,6 +234,9 @@
     return true;
   }
   OrderProgress& progress = progress_[wanted.order.subject];
+  if (progress.is_uncertain) {
+    return true;
+  }
   if (wanted.present == wanted.order.count) {
     progress.differs_since.reset();
     return false;
@@ -231,75 +269,81 @@
   const ProviderCall call = std::move(found->second);
   calls_.erase(found);
   next_step_ = MonoTime();
-  const bool was_taken = outcome == ProviderOutcome::kAccepted ||
-                         outcome == ProviderOutcome::kConflict;
-  if (was_taken) {
-    pacer_.OnSuccess();
-  } else {
-    pacer_.OnFailure(now);
-  }
+  pacer_.OnEnd(outcome == ProviderOutcome::kAccepted ||
+                   outcome == ProviderOutcome::kConflict,
+               now);
   const auto* window = std::get_if<UsageWindow>(&call.content);
-  if (outcome != ProviderOutcome::kAccepted) {
-    Note note{"provider_call_failed",
-              window != nullptr
-                  ? DescribeWindow(*window)
-                  : DescribeOrder(std::get<ServerOrder>(call.content))};
+  Note note{"provider_call_failed",
+            window != nullptr
+                ? DescribeWindow(*window)
+                : DescribeOrder(std::get<ServerOrder>(call.content))};
+  note.inputs.emplace_back("token", absl::StrCat(call.token.value()));
+  if (outcome == ProviderOutcome::kAccepted) {
+    note.kind = window != nullptr ? "usage_reported" : "servers_ordered";
+  } else {
     note.inputs.emplace_back("outcome", ToString(outcome));
-    note.inputs.emplace_back("token", absl::StrCat(call.token.value()));
-    output->notes.push_back(std::move(note));
   }
+  output->notes.push_back(std::move(note));
   if (window != nullptr) {
-    OnUsageEnded(*window, call.token, outcome, output);
+    OnUsageEnded(call, outcome, now, output);
   } else {
-    OnOrderEnded(std::get<ServerOrder>(call.content), call.token, outcome, now,
-                 output);
+    OnOrderEnded(call, outcome, now, output);
   }
 }
 
-void DutyDriver::OnUsageEnded(const UsageWindow& window,
-                              DutyToken token,
+void DutyDriver::Record(DutyToken token,
+                        ProviderOutcome outcome,
+                        MonoTime now,
+                        CallHistory* history) {
+  if (outcome == ProviderOutcome::kAccepted) {
+    history->failures = 0;
+  } else if (outcome != ProviderOutcome::kNotSent) {
+    ++history->failures;
+  }
+  if (outcome == ProviderOutcome::kConflict) {
+    history->conflict_token = std::max(history->conflict_token, token);
+    history->not_before = now + kConflictBackoff;
+  }
+}
+
+void DutyDriver::OnUsageEnded(const ProviderCall& call,
                               ProviderOutcome outcome,
+                              MonoTime now,
                               Output* output) {
-  if (outcome == ProviderOutcome::kConflict) {
-    rejected_token_ = std::max(rejected_token_, token);
-    return;
+  const UsageWindowNumber number = std::get<UsageWindow>(call.content).number;
+  if (call.id >= first_call_of_term_) {
+    Record(call.token, outcome, now, &reports_);
   }
-  if (outcome != ProviderOutcome::kAccepted) {
-    return;
+  if (outcome == ProviderOutcome::kAccepted) {
+    // The content is the same in all terms, so this settles the window also
+    // when another holder has taken over.
+    reported_.insert(number);
+    Propose(UsageSettlement{number}, output);
   }
-  Note note{"usage_reported", DescribeWindow(window)};
-  note.inputs.emplace_back("token", absl::StrCat(token.value()));
-  output->notes.push_back(std::move(note));
-  reported_.insert(window.number);
-  Propose(UsageSettlement{window.number}, output);
 }
 
-void DutyDriver::OnOrderEnded(const ServerOrder& order,
-                              DutyToken token,
+void DutyDriver::OnOrderEnded(const ProviderCall& call,
                               ProviderOutcome outcome,
                               MonoTime now,
                               Output* output) {
-  OrderProgress& progress = progress_[order.subject];
-  if (outcome == ProviderOutcome::kConflict) {
-    progress.not_before = now + kConflictBackoff;
-    if (++progress.conflicts >= kConflictsBeforeClaim &&
-        now - claimed_at_ >= settings_.lease) {
-      progress.conflicts = 0;
-      rejected_token_ = std::max(rejected_token_, token);
-    }
-    return;
+  const auto& order = std::get<ServerOrder>(call.content);
+  if (outcome == ProviderOutcome::kAccepted) {
+    Propose(OrderSettlement{order, call.token, call.id}, output);
   }
-  progress.conflicts = 0;
-  if (outcome != ProviderOutcome::kAccepted) {
+  if (call.id < first_call_of_term_) {
+    // Another holder may have ordered since.
     return;
   }
-  Note note{"servers_ordered", DescribeOrder(order)};
-  note.inputs.emplace_back("token", absl::StrCat(token.value()));
-  output->notes.push_back(std::move(note));
-  progress.accepted_at = now;
-  progress.differs_since.reset();
-  ordered_[order.subject] = order.count;
-  Propose(OrderSettlement{order, token}, output);
+  OrderProgress& progress = progress_[order.subject];
+  Record(call.token, outcome, now, &progress.calls);
+  if (outcome == ProviderOutcome::kUnknown) {
+    progress.is_uncertain = true;
+  } else if (outcome == ProviderOutcome::kAccepted) {
+    progress.is_uncertain = false;
+    progress.accepted_at = now;
+    progress.differs_since.reset();
+    ordered_[order.subject] = order.count;
+  }
 }
 
 }  // namespace camphorsail
--- a/camphorsail/duties/duty_driver.h
+++ b/camphorsail/duties/duty_driver.h
@@ -62,7 +62,10 @@
         process_(process),
         pacer_(settings.provider_calls_per_s * kRateFraction) {}
 
-  void OnInputs(DutyInputs inputs) { inputs_ = std::move(inputs); }
+  void OnInputs(DutyInputs inputs, MonoTime now) {
+    inputs_ = std::move(inputs);
+    inputs_at_ = now;
+  }
   /// Handles the end of a call.
   /// @param output Resulting proposals are appended.
   void OnCallEnded(uint64_t id,
@@ -91,23 +94,39 @@
   /// Part of the provider's rate that one holder uses. Calls of an earlier
   /// holder may still be on their way.
   static constexpr double kRateFraction = 0.5;
-  /// Time after which a subject is tried again when the provider did not take
-  /// the call or had no such server.
+  /// Time between a conflict and the next call for its subject, and between two
+  /// claims because of conflicts.
   static constexpr absl::Duration kConflictBackoff = absl::Seconds(2);
-  /// Conflicts of one subject in a row after which the duties are claimed
-  /// again, in case that the provider has seen a higher token.
-  static constexpr int kConflictsBeforeClaim = 3;
+  /// Age at which inputs are not used any more. The daemon renews them several
+  /// times within it; older ones were made before the process was suspended, or
+  /// before it lost the leadership.
+  static constexpr absl::Duration kInputsLifetime = absl::Seconds(3);
 
+  /// The calls of this holder for the usage reports, or for one subject of
+  /// orders.
+  struct CallHistory {
+    /// Calls in a row that the provider did not accept.
+    int failures = 0;
+    MonoTime not_before;
+    /// Token of the last call that met a conflict. The provider may have seen a
+    /// higher one; therefore this token is not used again.
+    DutyToken conflict_token;
+  };
   /// What this holder knows about the orders of one subject.
   struct OrderProgress {
-    /// When the provider accepted the last order, or when this holder took it
-    /// over from an earlier one.
+    CallHistory calls;
+    /// When the provider accepted the last order of this holder.
     MonoTime accepted_at;
-    MonoTime not_before;
-    int conflicts = 0;
+    /// True when it is not known whether the last order is carried out.
+    bool is_uncertain = false;
     /// Since when the present servers have differed from the accepted order.
     std::optional<MonoTime> differs_since;
   };
+  /// A call that is due.
+  struct DueCall {
+    ProviderCall::Content content;
+    int failures = 0;
+  };
 
   void BeginTerm(const Leadership& leadership,
                  const DutyStore& store,
@@ -121,14 +140,18 @@
   /// @return True when a call with another token has not ended. It might reach
   /// the provider after a call with the current token.
   bool HasCallWithOtherToken(DutyToken token) const;
-  /// @return The content of the next call; nothing when none is due.
-  std::optional<ProviderCall::Content> NextContent(const DutyStore& store,
-                                                   MonoTime now);
-  /// @return The next usage report to send; null when there is none.
-  const UsageWindow* NextReport(const DutyStore& store) const;
-  /// @return The next order to send, one that adds servers before one that
-  /// gives some back; nothing when there is none.
-  std::optional<ServerOrder> NextOrder(const DutyStore& store, MonoTime now);
+  /// @return True when a call may be made now. When it needs a higher token,
+  /// the duties are claimed in the next step.
+  bool MayCall(const CallHistory& history, DutyToken token, MonoTime now);
+  /// @return The next call: of those that failed least often in a row, a usage
+  /// report before orders; nothing when none is due.
+  std::optional<DueCall> NextCall(const DutyStore& store, MonoTime now);
+  /// @return The earliest usage report to send; nothing when there is none.
+  std::optional<DueCall> NextReport(const DutyStore& store, MonoTime now);
+  /// @return The next order to send: of those that failed least often in a row,
+  /// one that adds servers before one that gives some back; nothing when there
+  /// is none.
+  std::optional<DueCall> NextOrder(const DutyStore& store, MonoTime now);
   /// @return The count that the provider accepted last; nothing before the
   /// first order.
   std::optional<int> AcceptedCount(const ServerOrderSubject& subject,
@@ -138,12 +161,15 @@
                   const DutyStore& store,
                   MonoTime now);
   bool HasCallFor(const ServerOrderSubject& subject) const;
-  void OnUsageEnded(const UsageWindow& window,
-                    DutyToken token,
+  static void Record(DutyToken token,
+                     ProviderOutcome outcome,
+                     MonoTime now,
+                     CallHistory* history);
+  void OnUsageEnded(const ProviderCall& call,
                     ProviderOutcome outcome,
+                    MonoTime now,
                     Output* output);
-  void OnOrderEnded(const ServerOrder& order,
-                    DutyToken token,
+  void OnOrderEnded(const ProviderCall& call,
                     ProviderOutcome outcome,
                     MonoTime now,
                     Output* output);
@@ -153,21 +179,28 @@
   const Incarnation process_;
   CallPacer pacer_;
   DutyInputs inputs_;
+  /// When the inputs were received.
+  MonoTime inputs_at_;
   MonoTime next_step_;
   uint64_t next_id_ = 1;
 
   /// The latest term in which this VM was the leader.
   std::optional<TermNumber> term_;
+  /// The calls of earlier terms have lower ids.
+  uint64_t first_call_of_term_ = 0;
   /// From then on no call of a holder of an earlier term can begin.
   MonoTime may_act_from_;
-  /// Highest token with which the provider turned a call away as stale. The
-  /// duties are claimed again, so that the token rises above it.
-  DutyToken rejected_token_;
+  /// A call is due that needs a token above this one. The duties are claimed
+  /// again.
+  DutyToken refused_token_;
   MonoTime claimed_at_;
+  /// `DutyStore::abandoned_windows` that is reported.
+  uint64_t reported_abandoned_ = 0;
   /// Proposals without an answer, by id.
   std::map<uint64_t, Command> proposed_;
   /// Calls that have not ended, by id.
   std::map<uint64_t, ProviderCall> calls_;
+  CallHistory reports_;
   /// Windows that the provider has accepted from this holder.
   std::set<UsageWindowNumber> reported_;
   /// Counts that the provider has accepted from this holder, by subject. Ahead
--- a/camphorsail/duties/duty_store.cc
+++ b/camphorsail/duties/duty_store.cc
@@ -1,5 +1,6 @@
 #include "camphorsail/duties/duty_store.h"
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -16,7 +17,9 @@
                std::vector<UsageWindow>,
                std::vector<UsageWindowNumber>,
                std::vector<std::pair<ServerOrderSubject, AcceptedOrder>>,
-               std::vector<ModelId>>;
+               std::vector<std::pair<ModelId, std::string>>,
+               UsageWindowNumber,
+               uint64_t>;
 
 }  // namespace
 
@@ -32,18 +35,20 @@
 
 Expected<void> DutyStore::Apply(const UsageAgreement& agreement) {
   const UsageWindowNumber number = agreement.window.number;
-  if (IsAgreed(number)) {
-    return {};
-  }
-  if (settled_windows_.size() >= kMaxSettledWindows &&
-      number < *settled_windows_.begin()) {
+  if (number < first_kept_) {
     return Fail(ErrorKind::kInvalidRequest,
                 absl::StrCat("usage window ", number.value(),
                              " is older than all that are kept"));
   }
+  if (IsAgreed(number)) {
+    return {};
+  }
   open_windows_.emplace(number, agreement.window);
   if (open_windows_.size() > kMaxOpenWindows) {
+    // Its report may have reached the provider.
+    KeepAfter(open_windows_.begin()->first);
     open_windows_.erase(open_windows_.begin());
+    ++abandoned_windows_;
   }
   return {};
 }
@@ -52,19 +57,26 @@
   open_windows_.erase(settlement.number);
   settled_windows_.insert(settlement.number);
   if (settled_windows_.size() > kMaxSettledWindows) {
+    KeepAfter(*settled_windows_.begin());
     settled_windows_.erase(settled_windows_.begin());
   }
   return {};
 }
 
+void DutyStore::KeepAfter(UsageWindowNumber number) {
+  first_kept_ = std::max(first_kept_, UsageWindowNumber(number.value() + 1));
+}
+
 Expected<void> DutyStore::Apply(const OrderSettlement& settlement) {
   const auto found = orders_.find(settlement.order.subject);
   if (found == orders_.end() && orders_.size() >= kMaxOrderSubjects) {
     return Fail(ErrorKind::kOverloaded, "too many subjects of server orders");
   }
-  if (found == orders_.end() || found->second.token <= settlement.token) {
+  if (found == orders_.end() ||
+      std::tie(found->second.token, found->second.call_id) <=
+          std::tie(settlement.token, settlement.call_id)) {
     orders_[settlement.order.subject] = {settlement.order.count,
-                                         settlement.token};
+                                         settlement.token, settlement.call_id};
   }
   return {};
 }
@@ -74,10 +86,10 @@
     holds_.erase(hold.service);
     return {};
   }
-  if (holds_.size() >= kMaxHolds) {
+  if (holds_.size() >= kMaxHolds && !holds_.contains(hold.service)) {
     return Fail(ErrorKind::kOverloaded, "too many services are on hold");
   }
-  holds_.insert(hold.service);
+  holds_[hold.service] = hold.operator_name;
   return {};
 }
 
@@ -87,9 +99,9 @@
     windows.push_back(window);
   }
   return PackBytes(SnapshotFields(
-      holder_, std::move(windows),
-      {settled_windows_.begin(), settled_windows_.end()},
-      {orders_.begin(), orders_.end()}, {holds_.begin(), holds_.end()}));
+      holder_, windows, {settled_windows_.begin(), settled_windows_.end()},
+      {orders_.begin(), orders_.end()}, {holds_.begin(), holds_.end()},
+      first_kept_, abandoned_windows_));
 }
 
 Expected<DutyStore> DutyStore::Restore(std::string_view bytes) {
@@ -98,7 +110,8 @@
     return Fail(ErrorKind::kDataCorrupt,
                 absl::StrCat("duties: ", fields.error().message));
   }
-  auto& [holder, windows, settled, orders, holds] = *fields;
+  auto& [holder, windows, settled, orders, holds, first_kept, abandoned] =
+      *fields;
   DutyStore store;
   store.holder_ = std::move(holder);
   for (UsageWindow& window : windows) {
@@ -108,6 +121,8 @@
   store.settled_windows_.insert(settled.begin(), settled.end());
   store.orders_.insert(orders.begin(), orders.end());
   store.holds_.insert(holds.begin(), holds.end());
+  store.first_kept_ = first_kept;
+  store.abandoned_windows_ = abandoned;
   return store;
 }
 
--- a/camphorsail/duties/duty_store.h
+++ b/camphorsail/duties/duty_store.h
@@ -2,6 +2,7 @@
 #define CAMPHORSAIL_DUTIES_DUTY_STORE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -26,10 +27,12 @@
 /// The last order of a subject that the provider accepted.
 struct AcceptedOrder {
   int count = 0;
+  /// Token and id of the call.
   DutyToken token;
+  uint64_t call_id = 0;
 
   friend bool operator==(const AcceptedOrder&, const AcceptedOrder&) = default;
-  MSGPACK_DEFINE(count, token)
+  MSGPACK_DEFINE(count, token, call_id)
 };
 
 /// The replicated state of the duties: who holds them, which usage reports are
@@ -55,6 +58,7 @@
   /// Fixes the content of a report. Changes nothing when the window is agreed.
   /// @return `kInvalidRequest` for a window that is older than all kept ones.
   Expected<void> Apply(const UsageAgreement& agreement);
+  /// Closes the window, so that its report is not sent again.
   Expected<void> Apply(const UsageSettlement& settlement);
   /// @return `kOverloaded` when there are too many subjects.
   Expected<void> Apply(const OrderSettlement& settlement);
@@ -62,10 +66,11 @@
   Expected<void> Apply(const OrderHold& hold);
 
   const DutyHolder& holder() const { return holder_; }
-  /// @return True when the content of the report of the window is fixed,
-  /// whether the provider has accepted it or not.
+  /// @return True when no content can be agreed any more for the window: it is
+  /// agreed, or it is older than all that are kept.
   bool IsAgreed(UsageWindowNumber number) const {
-    return open_windows_.contains(number) || settled_windows_.contains(number);
+    return number < first_kept_ || open_windows_.contains(number) ||
+           settled_windows_.contains(number);
   }
   /// Agreed reports that the provider has not accepted.
   const std::map<UsageWindowNumber, UsageWindow>& open_windows() const {
@@ -74,11 +79,14 @@
   const std::set<UsageWindowNumber>& settled_windows() const {
     return settled_windows_;
   }
+  /// @return Number of agreed reports that were given up, because the provider
+  /// accepted none for `kMaxOpenWindows` windows.
+  uint64_t abandoned_windows() const { return abandoned_windows_; }
   const std::map<ServerOrderSubject, AcceptedOrder>& orders() const {
     return orders_;
   }
-  /// Services whose servers are not ordered.
-  const std::set<ModelId>& holds() const { return holds_; }
+  /// Services whose servers are not ordered, with the operators who said so.
+  const std::map<ModelId, std::string>& holds() const { return holds_; }
 
   /// @return The encoding of the whole object.
   std::string Snapshot() const;
@@ -86,11 +94,19 @@
   static Expected<DutyStore> Restore(std::string_view bytes);
 
  private:
+  /// Lets no content be agreed for the window and the earlier ones, apart from
+  /// those that are agreed.
+  void KeepAfter(UsageWindowNumber number);
+
   DutyHolder holder_;
   std::map<UsageWindowNumber, UsageWindow> open_windows_;
   std::set<UsageWindowNumber> settled_windows_;
+  /// Windows before this one have left `open_windows_` or `settled_windows_`;
+  /// another content must not be agreed for them.
+  UsageWindowNumber first_kept_;
+  uint64_t abandoned_windows_ = 0;
   std::map<ServerOrderSubject, AcceptedOrder> orders_;
-  std::set<ModelId> holds_;
+  std::map<ModelId, std::string> holds_;
 };
 
 }  // namespace camphorsail
--- a/camphorsail/duties/provider_call.h
+++ b/camphorsail/duties/provider_call.h
@@ -32,7 +32,7 @@
   /// The provider has seen a higher token for the subject, or has no server of
   /// the kind at the moment. Its answer does not say which.
   kConflict,
-  /// The provider did not take the call, because of its rate or of a fault.
+  /// The provider did not take the call, because of its rate or its content.
   kRejected,
   /// The call was not written to the connection.
   kNotSent,
--- a/camphorsail/http/http_caller.cc
+++ b/camphorsail/http/http_caller.cc
@@ -1,5 +1,10 @@
 #include "camphorsail/http/http_caller.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
 #include <utility>
 
 #include "absl/time/time.h"
@@ -10,6 +15,9 @@
 
 /// Longest wait of the thread in milliseconds; `Post` wakes it earlier.
 constexpr int kMaxPollMs = 1000;
+/// Without it libcurl may wait for a "100 Continue" and send the request a
+/// second time after a 417.
+constexpr char kNoExpectHeader[] = "Expect:";
 
 }  // namespace
 
@@ -82,6 +90,7 @@
   for (const std::string& header : call.headers) {
     transfer->headers = curl_slist_append(transfer->headers, header.c_str());
   }
+  transfer->headers = curl_slist_append(transfer->headers, kNoExpectHeader);
   CURL* const easy = curl_easy_init();
   curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
@@ -95,6 +104,8 @@
   curl_easy_setopt(
       easy, CURLOPT_TIMEOUT_MS,
       static_cast<long>(absl::ToInt64Milliseconds(call.deadline - now)) + 1);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnSocket);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, transfer.get());
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeRequest);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnData);
@@ -103,6 +114,23 @@
   curl_multi_add_handle(multi_, easy);
 }
 
+int HttpCaller::OnSocket(void* transfer,
+                         curl_socket_t socket,
+                         curlsocktype /*purpose*/) {
+  auto* const self = static_cast<Transfer*>(transfer);
+  // Otherwise the kernel goes on to send data that is not acknowledged: after
+  // the connection is closed, and while the process is suspended.
+  const linger discard = {1, 0};
+  const int unacknowledged_ms = static_cast<int>(std::max<int64_t>(
+      1, absl::ToInt64Milliseconds(self->call.deadline - MonotonicNow())));
+  const bool is_set =
+      setsockopt(socket, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard)) ==
+          0 &&
+      setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms,
+                 sizeof(unacknowledged_ms)) == 0;
+  return is_set ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
+}
+
 size_t HttpCaller::OnData(char* data,
                           size_t size,
                           size_t count,
@@ -123,7 +151,7 @@
                                 int /*local_port*/) {
   auto* const self = static_cast<Transfer*>(transfer);
   // The process may have been stopped since the call was decided.
-  if (MonotonicNow() >= self->call.send_before) {
+  if (MonotonicNow() >= std::min(self->call.send_before, self->call.deadline)) {
     return CURL_PREREQFUNC_ABORT;
   }
   self->result.may_have_been_sent = true;
--- a/camphorsail/http/http_caller.h
+++ b/camphorsail/http/http_caller.h
@@ -26,7 +26,7 @@
   /// The request must not be written to the connection at or after this time.
   MonoTime send_before;
   /// The connection is closed at this time, whether an answer has arrived or
-  /// not.
+  /// not. Data that the other side has not acknowledged is discarded.
   MonoTime deadline;
 };
 
@@ -72,6 +72,9 @@
     Transfer& operator=(const Transfer&) = delete;
   };
 
+  static int OnSocket(void* transfer,
+                      curl_socket_t socket,
+                      curlsocktype purpose);
   static size_t OnData(char* data, size_t size, size_t count, void* transfer);
   static int OnBeforeRequest(void* transfer, char*, char*, int, int);
 
--- a/camphorsail/process/log_schema.h
+++ b/camphorsail/process/log_schema.h
@@ -180,11 +180,15 @@
      "Another process, or the same one with a higher token, calls the "
      "provider."},
     {"usage_agreed", LogVolume::kEveryLine,
-     "The holder of the duties fixes the content of a usage report."},
+     "The holder of the duties proposes the content of a usage report; the "
+     "first content that is committed for a window is sent."},
     {"usage_reported", LogVolume::kEveryLine,
      "The provider accepted a usage report."},
     {"servers_ordered", LogVolume::kEveryLine,
      "The provider accepted an order of servers."},
+    {"usage_abandoned", LogVolume::kEveryLine,
+     "Agreed usage reports were given up, because too many newer ones are "
+     "agreed and not accepted."},
     {"usage_late", LogVolume::kBounded,
      "Requests were counted after the content of their window's usage report "
      "was fixed; the report lacks them."},
@@ -370,6 +374,7 @@
     {"wall_micros", "Another daemon's wall clock, microseconds since 1970."},
     {"where", "Loop in which a handler failed."},
     {"window", "Number of a usage window since 1970."},
+    {"windows", "Number of usage windows."},
 });
 
 }  // namespace camphorsail
