--- a/tests/unit/control_node/control_cluster.cc
+++ b/tests/unit/control_node/control_cluster.cc
@@ -16,9 +16,11 @@
 ControlCluster::ControlCluster(int vms,
                                uint64_t seed,
                                OrderPlannerSettings orders,
-                               LimitAllocatorSettings limits)
+                               LimitAllocatorSettings limits,
+                               DutySettings duties)
     : orders_(orders),
       limits_(limits),
+      duties_(duties),
       vms_(static_cast<size_t>(vms)),
       random_(seed),
       now_(MonoTime::FromNanos(1'000'000'000)),
@@ -64,6 +66,7 @@
   settings.registration.replica = true;
   settings.orders = orders_;
   settings.limits = limits_;
+  settings.duties = duties_;
   ++vm.starts;
   vm.running = true;
   vm.frozen = false;
@@ -243,6 +246,9 @@
   } else if (const auto* call = std::get_if<EngineCallAction>(&action);
              call != nullptr && on_engine_call) {
     on_engine_call(index, *call);
+  } else if (const auto* action_call = std::get_if<ProviderCallAction>(&action);
+             action_call != nullptr && on_provider_call) {
+    on_provider_call(index, action_call->call);
   }
 }
 
--- a/tests/unit/control_node/control_cluster.h
+++ b/tests/unit/control_node/control_cluster.h
@@ -50,7 +50,8 @@
   ControlCluster(int vms,
                  uint64_t seed,
                  OrderPlannerSettings orders = {},
-                 LimitAllocatorSettings limits = {});
+                 LimitAllocatorSettings limits = {},
+                 DutySettings duties = {});
 
   static VmId Name(int vm) { return VmId("vm" + std::to_string(vm)); }
   Vm& vm(int index) { return vms_[static_cast<size_t>(index)]; }
@@ -80,6 +81,8 @@
   void PostAt(int index, const ControlEvent& event, MonoTime at);
   /// Called for each call to an engine; may be empty.
   std::function<void(int vm, const EngineCallAction&)> on_engine_call;
+  /// Called for each call to the provider; may be empty.
+  std::function<void(int vm, const ProviderCall&)> on_provider_call;
   /// Submits a settings change to the whole fleet at a VM.
   /// @return The submission id.
   uint64_t SubmitChange(int index,
@@ -116,6 +119,7 @@
 
   const OrderPlannerSettings orders_;
   const LimitAllocatorSettings limits_;
+  const DutySettings duties_;
   LimitMessages limit_messages_;
   std::vector<Vm> vms_;
   Random random_;
