Duties for operators: camphorsailctl duties, hold and resume, metrics

Operators could not see who calls the provider, which reports wait and which orders were accepted, and could not stop the orders of a service.

The handlers of the path itself and the metrics were built, not run in a process.

--- a/camphorsail/admin/admin_api.cc
+++ b/camphorsail/admin/admin_api.cc
@@ -18,6 +18,8 @@
   Add(routes, "POST", "/admin/v1/engines", &AdminApi::SetEngine);
   Add(routes, "GET", "/admin/v1/quarantine", &AdminApi::GetQuarantine);
   Add(routes, "POST", "/admin/v1/quarantine", &AdminApi::ReleaseQuarantine);
+  Add(routes, "GET", "/admin/v1/duties", &AdminApi::GetDuties);
+  Add(routes, "POST", "/admin/v1/duties", &AdminApi::HoldOrders);
   Add(routes, "GET", "/admin/v1/status", &AdminApi::GetStatus);
   Add(routes, "GET", "/admin/v1/refused-minutes", &AdminApi::GetRefusedMinutes);
   Add(routes, "GET", "/admin/v1/timeline", &AdminApi::GetTimeline);
--- a/camphorsail/admin/admin_api.h
+++ b/camphorsail/admin/admin_api.h
@@ -76,6 +76,10 @@
   Expected<HttpResponse> GetQuarantine(const HttpRequest& request);
   Expected<HttpResponse> ReleaseQuarantine(const HttpRequest& request);
 
+  // Implemented in admin_duties.cc.
+  Expected<HttpResponse> GetDuties(const HttpRequest& request);
+  Expected<HttpResponse> HoldOrders(const HttpRequest& request);
+
   // Implemented in admin_engines.cc.
   Expected<HttpResponse> GetEngines(const HttpRequest& request);
   Expected<HttpResponse> SetEngine(const HttpRequest& request);
--- a/camphorsail/process/log_schema.h
+++ b/camphorsail/process/log_schema.h
@@ -192,6 +192,10 @@
     {"usage_late", LogVolume::kBounded,
      "Requests were counted after the content of their window's usage report "
      "was fixed; the report lacks them."},
+    {"orders_held", LogVolume::kEveryLine,
+     "An operator stopped the orders of servers for a service."},
+    {"orders_resumed", LogVolume::kEveryLine,
+     "An operator resumed the orders of servers for a service."},
     {"provider_unknown", LogVolume::kBounded,
      "The settings name duties but no address of a provider."},
     {"provider_call_failed", LogVolume::kBounded,
--- a/camphorsail/runtime/daemon.cc
+++ b/camphorsail/runtime/daemon.cc
@@ -154,6 +154,10 @@
                                     duty_feed_.TrueTime(MonotonicNow()))
                               : 0;
                  }}) {
+  if (options_.provider_duties.usage ||
+      options_.provider_duties.server_orders) {
+    duty_metrics_ = std::make_unique<DutyMetrics>(&metrics_);
+  }
   SetLogClock([this](absl::Time now) { return clock_.Now(now); });
 }
 
@@ -222,6 +226,9 @@
     provider_sender_ = std::make_unique<ProviderSender>(
         options_.provider, provider_dialect_,
         [this](const ProviderCall& call, ProviderOutcome outcome) {
+          if (duty_metrics_ != nullptr) {
+            duty_metrics_->OnCallEnded(call, outcome);
+          }
           duty_feed_.OnCallEnded(call, outcome, MonotonicNow());
           control_->Post(ProviderCallEndedEvent{call.id, outcome});
         });
--- a/camphorsail/runtime/daemon.h
+++ b/camphorsail/runtime/daemon.h
@@ -20,6 +20,7 @@
 #include "camphorsail/process/options.h"
 #include "camphorsail/runtime/control_runtime.h"
 #include "camphorsail/runtime/duty_feed.h"
+#include "camphorsail/runtime/duty_metrics.h"
 #include "camphorsail/runtime/gateway_sessions.h"
 #include "camphorsail/runtime/order_sender.h"
 #include "camphorsail/runtime/provider_dialect.h"
@@ -142,6 +143,8 @@
   SharedHybridClock clock_;
   Metrics metrics_;
   ReplicaGauges gauges_{&metrics_};
+  /// Null without duties.
+  std::unique_ptr<DutyMetrics> duty_metrics_;
   TimelineBuffer timeline_;
   RequestTelemetry telemetry_;
   LockedScheduler<Scheduler> scheduler_;
--- a/camphorsail/runtime/daemon_listeners.cc
+++ b/camphorsail/runtime/daemon_listeners.cc
@@ -92,6 +92,9 @@
   gauges_.UpdateProcess();
   control_->Inspect([this](const ControlNode& node) {
     gauges_.Update(node, MonotonicNow());
+    if (duty_metrics_ != nullptr) {
+      duty_metrics_->Update(node, options_.vm);
+    }
   });
   return metrics_.Render();
 }
--- a/ctl/command.h
+++ b/ctl/command.h
@@ -25,6 +25,9 @@
   kEnginesRemove,
   kQuarantine,
   kQuarantineRelease,
+  kDuties,
+  kDutiesHold,
+  kDutiesResume,
   kStatus,
   kRefusedMinutes,
   kTimeline,
@@ -79,6 +82,8 @@
   int64_t load_priority = 0;
   /// Id of the entry of `quarantine release`.
   std::string entry;
+  /// Service of `duties hold` and `duties resume`.
+  std::string service;
   /// VM to drain; empty for the VM that receives the request.
   std::string vm;
 
--- a/ctl/parse_command.cc
+++ b/ctl/parse_command.cc
@@ -388,6 +388,10 @@
     case CommandKind::kQuarantineRelease:
       command->entry = operands[0];
       break;
+    case CommandKind::kDutiesHold:
+    case CommandKind::kDutiesResume:
+      command->service = operands[0];
+      break;
     case CommandKind::kDrain:
       command->vm = operands.empty() ? "" : operands[0];
       break;
--- a/ctl/render.cc
+++ b/ctl/render.cc
@@ -194,6 +194,36 @@
                                                   {"CLEARED", "cleared"}}));
 }
 
+std::string RenderDuties(const json& answer) {
+  const json holder = answer.value("holder", json::object());
+  const json totals =
+      json::array({{{"key", "holder"}, {"value", FormatMember(holder, "vm")}},
+                   {{"key", "token"}, {"value", FormatMember(holder, "token")}},
+                   {{"key", "term"}, {"value", FormatMember(holder, "term")}},
+                   {{"key", "last settled window"},
+                    {"value", FormatMember(answer, "last_settled_window")}},
+                   {{"key", "abandoned windows"},
+                    {"value", FormatMember(answer, "abandoned_windows")}}});
+  return absl::StrCat(
+      answer.value("current", false) ? "" : "may be out of date\n",
+      RenderRows(totals, {{"DUTIES", "key"}, {"", "value"}}),
+      "\nUsage reports that are agreed and not accepted\n",
+      RenderRows(ArrayMember(answer, "open_windows"),
+                 {{"WINDOW", "window"},
+                  {"ACCOUNTS", "accounts"},
+                  {"REQUESTS", "requests"}}),
+      "\nLast accepted orders\n",
+      RenderRows(ArrayMember(answer, "orders"),
+                 {{"SERVICE", "service"},
+                  {"FAILURE DOMAIN", "failure_domain"},
+                  {"TENURE", "tenure"},
+                  {"COUNT", "count"},
+                  {"TOKEN", "token"}}),
+      "\nServices on hold\n",
+      RenderRows(ArrayMember(answer, "holds"),
+                 {{"SERVICE", "service"}, {"OPERATOR", "operator"}}));
+}
+
 }  // namespace
 
 std::string RenderEdits(const json& edits) {
@@ -251,6 +281,13 @@
       return absl::StrCat(
           "released ", EscapeControlCharacters(FormatMember(answer, "entry")),
           "\n");
+    case CommandKind::kDuties:
+      return RenderDuties(answer);
+    case CommandKind::kDutiesHold:
+    case CommandKind::kDutiesResume:
+      return absl::StrCat(
+          answer.value("hold", false) ? "on hold: " : "resumed: ",
+          EscapeControlCharacters(FormatMember(answer, "service")), "\n");
     case CommandKind::kStatus:
       return RenderStatus(answer);
     case CommandKind::kTimeline:
--- a/ctl/run_command.cc
+++ b/ctl/run_command.cc
@@ -89,6 +89,13 @@
       case CommandKind::kQuarantineRelease:
         RunQuarantineRelease();
         break;
+      case CommandKind::kDuties:
+        RunQuery("duties", {});
+        break;
+      case CommandKind::kDutiesHold:
+      case CommandKind::kDutiesResume:
+        RunOrderHold();
+        break;
       case CommandKind::kStatus:
         RunQuery("status", {});
         break;
@@ -223,10 +230,19 @@
   }
 
   void RunQuarantineRelease() {
-    const json body = {{"release", command_.entry},
-                       {"operator", command_.operator_name}};
+    Post("quarantine",
+         {{"release", command_.entry}, {"operator", command_.operator_name}});
+  }
+
+  void RunOrderHold() {
+    Post("duties", {{"service", command_.service},
+                    {"hold", command_.kind == CommandKind::kDutiesHold},
+                    {"operator", command_.operator_name}});
+  }
+
+  void Post(const std::string& path, const json& body) {
     json answer;
-    if (ParseAnswer(context_.call({"POST", MakeTarget("quarantine", {}),
+    if (ParseAnswer(context_.call({"POST", MakeTarget(path, {}),
                                    body.dump(-1, ' ', false,
                                              json::error_handler_t::replace)}),
                     &answer)) {
--- a/tests/unit/ctl/parse_command_test.cc
+++ b/tests/unit/ctl/parse_command_test.cc
@@ -60,6 +60,16 @@
   EXPECT_EQ(release.command->kind, CommandKind::kQuarantineRelease);
   EXPECT_EQ(release.command->entry, "00ff");
   EXPECT_EQ(release.command->operator_name, "ann");
+  EXPECT_EQ(Parse({"duties", "--json"}).command->kind, CommandKind::kDuties);
+  const ParsedCommand hold =
+      Parse({"duties", "hold", "chat", "--operator", "ann"});
+  ASSERT_TRUE(hold.command) << hold.errors;
+  EXPECT_EQ(hold.command->kind, CommandKind::kDutiesHold);
+  EXPECT_EQ(hold.command->service, "chat");
+  EXPECT_EQ(hold.command->operator_name, "ann");
+  EXPECT_EQ(Parse({"duties", "resume", "chat"}).command->kind,
+            CommandKind::kDutiesResume);
+  EXPECT_FALSE(Parse({"duties", "hold"}).command);
 }
 
 // Guards against two changes with the same id: the second would be treated as
--- a/tests/unit/ctl/render_test.cc
+++ b/tests/unit/ctl/render_test.cc
@@ -50,6 +50,37 @@
   EXPECT_NE(text.find("vm2  10.0.0.2:1  no\n"), std::string::npos) << text;
 }
 
+// Guards against duties that look up to date, or in order, when they are not.
+TEST(RenderTest, DutiesShowHolderReportsOrdersAndHolds) {
+  const json answer = json::parse(R"({"current":true,
+      "holder":{"vm":"vm1","process":5,"term":3,"token":7},
+      "open_windows":[{"window":41,"accounts":2,"requests":90}],
+      "last_settled_window":40,"abandoned_windows":0,
+      "orders":[{"service":"chat","failure_domain":"fd1","tenure":"reclaimable",
+                 "count":3,"token":6}],
+      "holds":[{"service":"mail","operator":"ann"}]})");
+  EXPECT_EQ(RenderAnswer(CommandKind::kDuties, answer),
+            "DUTIES\n"
+            "holder               vm1\n"
+            "token                7\n"
+            "term                 3\n"
+            "last settled window  40\n"
+            "abandoned windows    0\n"
+            "\nUsage reports that are agreed and not accepted\n"
+            "WINDOW  ACCOUNTS  REQUESTS\n"
+            "41      2         90\n"
+            "\nLast accepted orders\n"
+            "SERVICE  FAILURE DOMAIN  TENURE       COUNT  TOKEN\n"
+            "chat     fd1             reclaimable  3      6\n"
+            "\nServices on hold\n"
+            "SERVICE  OPERATOR\n"
+            "mail     ann\n");
+  json stale = answer;
+  stale["current"] = false;
+  EXPECT_EQ(
+      RenderAnswer(CommandKind::kDuties, stale).find("may be out of date"), 0U);
+}
+
 // Guards against a timeline that looks complete although a VM did not answer.
 TEST(RenderTest, TimelineNamesUnreachableVms) {
   const std::string text = RenderAnswer(
@@ -68,7 +99,8 @@
        {CommandKind::kSettingsGet, CommandKind::kSettingsSet,
         CommandKind::kSettingsHistory, CommandKind::kServers,
         CommandKind::kEngines, CommandKind::kEnginesSet, CommandKind::kStatus,
-        CommandKind::kTimeline, CommandKind::kDrain}) {
+        CommandKind::kTimeline, CommandKind::kDrain, CommandKind::kDuties,
+        CommandKind::kDutiesHold}) {
     EXPECT_FALSE(RenderAnswer(kind, json::object()).empty());
   }
   const std::string text = RenderAnswer(
--- a/tests/unit/ctl/run_command_test.cc
+++ b/tests/unit/ctl/run_command_test.cc
@@ -174,6 +174,24 @@
             json({{"server", "engine"}, {"remove", true}}));
 }
 
+// Guards against a hold that resumes the orders, and the other way round.
+TEST(RunCommandTest, DutiesHoldAndResumeNameTheService) {
+  for (const bool hold : {true, false}) {
+    Command command;
+    command.kind = hold ? CommandKind::kDutiesHold : CommandKind::kDutiesResume;
+    command.service = "chat";
+    command.operator_name = "ann";
+    FakeAdmin admin({Answer(200, {{"service", "chat"}, {"hold", hold}})});
+    const CommandResult result = admin.Run(command);
+    EXPECT_EQ(result.exit_code, kExitSuccess);
+    EXPECT_EQ(result.output, hold ? "on hold: chat\n" : "resumed: chat\n");
+    EXPECT_EQ(admin.requests[0].method, "POST");
+    EXPECT_EQ(admin.requests[0].target, "/admin/v1/duties");
+    EXPECT_EQ(json::parse(admin.requests[0].body),
+              json({{"service", "chat"}, {"hold", hold}, {"operator", "ann"}}));
+  }
+}
+
 // Guards against special characters in a query value that add parameters to the
 // URL.
 TEST(RunCommandTest, QueryValuesAreEncoded) {
