Load reports of any length are read; an odd one is logged and counted

A report with more than three figures was dropped without a line, so that a gateway placed requests without any report of such servers. The report is now decoded once, in platform/, into a type that names each figure; the fourth is how long work takes on the host at the moment, and what follows is ignored. A report that cannot be read is logged (load_report_odd) and counted; its answer is forwarded as before.

Evidence: WireDialectTest.ReadsLoadReportsOfAnyLength (3 to 6 figures, 11 odd texts).

--- a/camphorsail/gateway/gateway_answer.cc
+++ b/camphorsail/gateway/gateway_answer.cc
@@ -66,6 +66,8 @@
   }
   if (reply.load.has_value()) {
     attempt.server->OnReport(*reply.load, loop_->now());
+  } else if (!reply.odd_load.empty()) {
+    telemetry_.OnOddLoadReport(*exchange);
   }
   ObserveWishes(*exchange);
   attempt.head = std::move(head);
--- a/camphorsail/gateway/gateway_telemetry.cc
+++ b/camphorsail/gateway/gateway_telemetry.cc
@@ -7,6 +7,9 @@
 namespace camphorsail {
 namespace {
 
+/// Characters of an unreadable load report that are logged.
+constexpr size_t kMaxLoggedReport = 64;
+
 /// Adds the fields that identify an exchange and describe its progress.
 void Describe(const Exchange& exchange, MonoTime now, LogEvent* event) {
   event->Add("request", exchange.request.request_id)
@@ -91,6 +94,11 @@
                          "Servers on which attempts broke off, by whether they "
                          "had ended.",
                          {"state"}});
+  odd_load_reports_ =
+      metrics_->Declare({"camphorsail_gateway_odd_load_reports_total",
+                         MetricKind::kCounter,
+                         "Load reports of servers that could not be read.",
+                         {"service"}});
   first_answer_time_ =
       metrics_->Declare({"camphorsail_gateway_first_answer_seconds",
                          MetricKind::kLatency,
@@ -220,6 +228,15 @@
       .Add("crashes", verdict.crashes);
 }
 
+void GatewayTelemetry::OnOddLoadReport(const Exchange& exchange) {
+  const ExchangeAttempt& attempt = *exchange.attempt;
+  metrics_->Increment(odd_load_reports_, {attempt.server->service.value()});
+  LogEvent("load_report_odd", LogLevel::kWarning)
+      .Add("server", attempt.server->id)
+      .Add("request", exchange.request.request_id)
+      .Add("report", attempt.reply.odd_load.substr(0, kMaxLoggedReport));
+}
+
 void GatewayTelemetry::OnUnreceivedRequest(ErrorKind kind) {
   const std::string_view code = GetErrorTraits(kind).code;
   metrics_->Increment(requests_, {"", code});
--- a/camphorsail/gateway/gateway_telemetry.h
+++ b/camphorsail/gateway/gateway_telemetry.h
@@ -44,6 +44,8 @@
   void OnServerChecked(const BackendServer& server, bool ended);
   /// Requests with these prompt parts are refused from now on, or no longer.
   void OnVerdict(const PartVerdict& verdict, bool in_force);
+  /// The load report with an answer could not be read.
+  void OnOddLoadReport(const Exchange& exchange);
   /// A request could not be received, see `CallerHandlers`.
   void OnUnreceivedRequest(ErrorKind kind);
 
@@ -52,6 +54,7 @@
   MetricId requests_;
   MetricId attempts_;
   MetricId broken_servers_;
+  MetricId odd_load_reports_;
   MetricId first_answer_time_;
   MetricId answer_time_;
 };
--- a/camphorsail/gateway/server_reply.h
+++ b/camphorsail/gateway/server_reply.h
@@ -27,6 +27,8 @@
   /// Time for which a server that is full wants no requests from this gateway.
   std::optional<absl::Duration> rest;
   std::optional<ReportedLoad> load;
+  /// The text of a load report that cannot be read; empty when there is none.
+  std::string odd_load;
 };
 
 }  // namespace camphorsail
--- a/camphorsail/process/log_schema.h
+++ b/camphorsail/process/log_schema.h
@@ -48,6 +48,9 @@
     // Requests at a gateway.
     {"attempt_started", LogVolume::kBounded,
      "A server was chosen and the request was sent to it."},
+    {"load_report_odd", LogVolume::kBounded,
+     "A server's load report could not be read and is not used; the answer "
+     "that carried it is."},
     {"attempt_failed", LogVolume::kBounded,
      "An attempt on a server ended without an answer that can be forwarded."},
     {"request_answered", LogVolume::kBounded,
@@ -333,6 +336,7 @@
      "ones are late."},
     {"replica", "VM of a replica."},
     {"replicas", "VMs of the replicas, in the order of preference."},
+    {"report", "Begin of the text of a server's load report."},
     {"request", "The request's id; also in the answer."},
     {"request_hash",
      "Identifies the content of the request, however often it comes again."},
--- a/tests/unit/platform/platform_test.cc
+++ b/tests/unit/platform/platform_test.cc
@@ -263,6 +263,37 @@
   EXPECT_EQ(answer.headers.Find("Server-Load"), nullptr);
 }
 
+// Guards against a report being dropped because a later release of the servers
+// adds figures, and against an odd report taking the answer with it.
+TEST(WireDialectTest, ReadsLoadReportsOfAnyLength) {
+  const WireDialect dialect = MakeWireDialect();
+  const auto read = [&](const std::string& text) {
+    HttpResponseHead head;
+    head.status = 200;
+    head.headers.Add("Request-Id", "42");
+    head.headers.Add("Server-Load", text);
+    return dialect.read_reply(head);
+  };
+  EXPECT_EQ(read("3,1,8").load->slots, 8);
+  EXPECT_FALSE(read("3,1,8").load->slowdown.has_value());
+  for (const char* text : {"3,1,8,250", "3,1,8,250,7", "3,1,8,250,later,x"}) {
+    const ServerReply reply = read(text);
+    ASSERT_TRUE(reply.load.has_value()) << text;
+    EXPECT_EQ(reply.load->running, 3);
+    EXPECT_EQ(reply.load->waiting, 1);
+    EXPECT_DOUBLE_EQ(reply.load->slowdown.value_or(0), 2.5);
+    EXPECT_TRUE(reply.odd_load.empty());
+  }
+  for (const char* text :
+       {"3", "3,1", "3,,8", "3,1,-8", "a,1,8", "3,1,99999999999", "3,1,8,",
+        "3,1,8,0", "3,1,8,-5", "3,1,8,nan", "3,1,8,inf"}) {
+    const ServerReply reply = read(text);
+    EXPECT_FALSE(reply.load.has_value()) << text;
+    EXPECT_EQ(reply.odd_load, text);
+    EXPECT_EQ(reply.request_id, "42");
+  }
+}
+
 // What a server wants is read from well-formed headers of the answers that may
 // have them; anything else must not take the server out of use.
 TEST(WireDialectTest, ReadsWhatServersWant) {
