Two speeds per server: a lasting factor and the one of the moment

A gateway knew one speed for a whole service, so that estimates for servers that take 0.7 to 1.7 of the usual time were off by as much. Each server now has a lasting factor, a low quantile of the times of tokens and first events relative to the service's, averaged over all gateways through the loads that they exchange, and a factor of the moment from its report and the latest gap, weighed by age against the learned length of a spell. The model of the service learns from times divided by the lasting factor. The usual time to which the factors are relative is kept apart from that model, so that the two do not drift.

Servers count as uneven only beyond what load alone explains; until then all factors are 1 and nothing is sent.

Evidence: placement_test, ServerSpeedTest.*

--- a/camphorsail/gateway/backend_fleet.cc
+++ b/camphorsail/gateway/backend_fleet.cc
@@ -56,7 +56,7 @@
   std::vector<GatewayServerLoad> loads;
   for (const auto& [id, server] : servers_) {
     const GatewayServerLoad load = server->TakeOwnLoad(now);
-    if (load.in_flight > 0 || load.answers > 0) {
+    if (load.in_flight > 0 || load.answers > 0 || !load.speed.IsEmpty()) {
       loads.push_back(load);
     }
   }
--- a/camphorsail/gateway/gateway_answer.cc
+++ b/camphorsail/gateway/gateway_answer.cc
@@ -66,6 +66,10 @@
   }
   if (reply.load.has_value()) {
     attempt.server->OnReport(*reply.load, loop_->now());
+    if (reply.load->slowdown.has_value()) {
+      ModelOf(*exchange).speeds().OnReport(
+          *reply.load->slowdown, &attempt.server->speed, loop_->now());
+    }
   } else if (!reply.odd_load.empty()) {
     telemetry_.OnOddLoadReport(*exchange);
   }
@@ -160,7 +164,8 @@
   attempt.server->wishes.OnAnswer(attempt.started_at);
   ServiceModel& model = ModelOf(*exchange);
   if (attempt.is_server_idle && exchange->service->is_engine) {
-    model.engine().OnFirstEvent(attempt.uncached_tokens, attempt.first);
+    model.OnFirstEvent(attempt.uncached_tokens, attempt.first,
+                       &attempt.server->speed);
   } else if (attempt.is_server_idle) {
     model.engine().OnCall(attempt.first);
   }
@@ -201,10 +206,10 @@
   if (exchange->events_sent > 0) {
     const absl::Duration pause = now - exchange->events_at;
     exchange->longest_pause = std::max(exchange->longest_pause, pause);
-    ModelOf(*exchange).engine().OnGap(
+    ModelOf(*exchange).OnGap(
         static_cast<double>(attempt.events.count() - before) *
             exchange->placement.tokens_per_event,
-        pause, attempt.server->PromptBacklog(now));
+        pause, attempt.server->PromptBacklog(now), &attempt.server->speed, now);
   }
   if (!attempt.has_settled &&
       now - attempt.started_at - attempt.first >= kAnswerSettleTime) {
--- a/camphorsail/placement/backend_server.cc
+++ b/camphorsail/placement/backend_server.cc
@@ -80,6 +80,10 @@
   load.in_flight = static_cast<uint32_t>(in_flight_);
   load.answers = std::exchange(new_answers_, 0);
   load.requests_by_urgency = own_requests_;
+  const SpeedSamples speed_samples = speed.TakeOwn();
+  if (speed.is_shared()) {
+    load.speed = speed_samples;
+  }
   // The engine reads the most urgent prompts first, so that what it has read
   // since it finished the latest prompt is taken from these.
   for (int level = 0; level < kUrgencyLevels; ++level) {
@@ -107,6 +111,7 @@
                                         MonoTime now) {
   other_gateways_ = load;
   other_gateways_at_ = now;
+  speed.OnOthers(load.speed);
   if (load.answers > 0) {
     answered_others_at_ = now;
   }
--- a/camphorsail/placement/backend_server.h
+++ b/camphorsail/placement/backend_server.h
@@ -16,6 +16,7 @@
 #include "camphorsail/placement/gateway_server_load.h"
 #include "camphorsail/placement/recent_prefixes.h"
 #include "camphorsail/placement/reported_load.h"
+#include "camphorsail/placement/server_speed.h"
 #include "camphorsail/placement/server_wishes.h"
 #include "camphorsail/placement/urgency_counts.h"
 
@@ -48,6 +49,7 @@
   /// was replaced at its address.
   bool available = true;
   AttemptHealth health;
+  ServerSpeed speed;
   ServerWishes wishes;
   /// Prompt prefixes that the server has probably cached.
   RecentPrefixes prefixes;
--- a/camphorsail/placement/gateway_server_load.h
+++ b/camphorsail/placement/gateway_server_load.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <vector>
 
+#include "camphorsail/placement/speed_samples.h"
 #include "camphorsail/placement/urgency_counts.h"
 #include "msgpack.hpp"
 
@@ -26,6 +27,9 @@
   /// missing, from a gateway of an older release, counts as most urgent.
   UrgencyCounts requests_by_urgency{};
   UrgencyCounts backlog_ms_by_urgency{};
+  /// How long work took on the server since the report before. Only sent for
+  /// servers that differ in speed, see `ServiceSpeeds`.
+  SpeedSamples speed{};
 
   GatewayServerLoad& operator+=(const GatewayServerLoad& other) {
     in_flight += other.in_flight;
@@ -33,6 +37,7 @@
     answers += other.answers;
     requests_by_urgency += other.requests_by_urgency;
     backlog_ms_by_urgency += other.backlog_ms_by_urgency;
+    speed += other.speed;
     return *this;
   }
   /// @param other A load that was added before.
@@ -42,15 +47,35 @@
     answers -= other.answers;
     requests_by_urgency -= other.requests_by_urgency;
     backlog_ms_by_urgency -= other.backlog_ms_by_urgency;
+    speed -= other.speed;
     return *this;
   }
 
-  MSGPACK_DEFINE(server,
-                 in_flight,
-                 backlog_ms,
-                 answers,
-                 requests_by_urgency,
-                 backlog_ms_by_urgency)
+  /// @return True when the load says nothing.
+  bool IsEmpty() const {
+    return in_flight == 0 && backlog_ms == 0 && answers == 0 && speed.IsEmpty();
+  }
+
+  template <typename Packer>
+  void msgpack_pack(Packer& packer) const {
+    if (speed.IsEmpty()) {
+      msgpack::type::make_define_array(server, in_flight, backlog_ms, answers,
+                                       requests_by_urgency,
+                                       backlog_ms_by_urgency)
+          .msgpack_pack(packer);
+    } else {
+      msgpack::type::make_define_array(
+          server, in_flight, backlog_ms, answers, requests_by_urgency,
+          backlog_ms_by_urgency, speed.steps, speed.weight)
+          .msgpack_pack(packer);
+    }
+  }
+  void msgpack_unpack(const msgpack::object& object) {
+    msgpack::type::make_define_array(server, in_flight, backlog_ms, answers,
+                                     requests_by_urgency, backlog_ms_by_urgency,
+                                     speed.steps, speed.weight)
+        .msgpack_unpack(object);
+  }
 };
 
 /// Sum of the loads of several gateways, by server.
@@ -75,7 +100,7 @@
     std::vector<GatewayServerLoad> loads;
     loads.reserve(sums_.size());
     for (const auto& [server, load] : sums_) {
-      if (load.in_flight > 0 || load.backlog_ms > 0 || load.answers > 0) {
+      if (!load.IsEmpty()) {
         loads.push_back(load);
       }
     }
--- a/camphorsail/placement/service_model.cc
+++ b/camphorsail/placement/service_model.cc
@@ -41,6 +41,21 @@
   }
 }
 
+void ServiceModel::OnGap(double tokens,
+                         absl::Duration gap,
+                         absl::Duration backlog,
+                         ServerSpeed* speed,
+                         MonoTime now) {
+  if (tokens <= 0 || gap <= absl::ZeroDuration()) {
+    return;
+  }
+  // The model is of a server of usual speed.
+  engine_.OnGap(tokens, gap / speed->lasting(), backlog / speed->lasting());
+  if (backlog <= absl::ZeroDuration()) {
+    speeds_.OnTokenTime(absl::ToDoubleMilliseconds(gap) / tokens, speed, now);
+  }
+}
+
 bool ServiceModel::IsInteractive(const Route& route) const {
   const auto found = routes_.find(route.name);
   return found == routes_.end() || found->second.is_interactive;
--- a/camphorsail/placement/service_model.h
+++ b/camphorsail/placement/service_model.h
@@ -8,6 +8,7 @@
 #include "camphorsail/placement/admission_gate.h"
 #include "camphorsail/placement/engine_model.h"
 #include "camphorsail/placement/route_profile.h"
+#include "camphorsail/placement/service_speeds.h"
 #include "camphorsail/routing/route.h"
 
 namespace camphorsail {
@@ -42,6 +43,21 @@
                  double prompt_tokens,
                  double unshared_tokens);
 
+  /// Records the first event of a stream on an engine that had no other prompt
+  /// to read, see `EngineModel::OnFirstEvent`.
+  void OnFirstEvent(double uncached_tokens,
+                    absl::Duration wait,
+                    ServerSpeed* speed) {
+    engine_.OnFirstEvent(uncached_tokens, wait / speed->lasting());
+    speeds_.OnFirstEvent(uncached_tokens, wait, speed);
+  }
+  /// Records the time between two events of a stream, see `EngineModel::OnGap`.
+  void OnGap(double tokens,
+             absl::Duration gap,
+             absl::Duration backlog,
+             ServerSpeed* speed,
+             MonoTime now);
+
   /// @return False when the requests of the route belong to the bulk lane.
   bool IsInteractive(const Route& route) const;
   const Lane& LaneOf(bool is_interactive) const {
@@ -53,6 +69,8 @@
   }
   EngineModel& engine() { return engine_; }
   const EngineModel& engine() const { return engine_; }
+  ServiceSpeeds& speeds() { return speeds_; }
+  const ServiceSpeeds& speeds() const { return speeds_; }
   AdmissionGate& admission() { return admission_; }
   const AdmissionGate& admission() const { return admission_; }
 
@@ -68,6 +86,7 @@
   void Split();
 
   EngineModel engine_;
+  ServiceSpeeds speeds_;
   AdmissionGate admission_;
   absl::flat_hash_map<std::string, RouteEntry> routes_;
   Lane interactive_;
