Short-pause streams use fast engines, long prompts the others

17 % of the short-pause streams of a service with uneven engines were late by a pause, half of them on the slowest engines: the lanes were divided by hash, and the harm of a prompt was estimated for an engine of usual speed.

Where servers are uneven, the lanes are divided by lasting speed and capacity. Homes of a prefix are the engines of the lane on which a pause stays harmless in a spell. The cost of a placement is the lateness at the server's speed, with and without a spell, of the stream itself and of the streams beside it. An interactive stream stays in its lane while an engine there has room. Services whose servers are alike are placed as before.

--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -332,6 +332,7 @@
   exchange->causes =
       SharedPartHashes(exchange->request.model, exchange->request.prompt_parts);
   placement.objective = absl::Milliseconds(route.objective_ms);
+  placement.max_event_gap = absl::Milliseconds(route.max_event_gap_ms);
   placement.tokens_per_event = std::max(1, exchange->service->tokens_per_event);
   exchange->last_event = exchange->request.last_event;
   return {};
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -98,6 +98,10 @@
   void SetTotalDemand(const EngineDemand& demand) {
     placement_.SetDemand(demand);
     demand_.SetTotalRequests(demand.requests, loop_->now());
+    for (auto& [service, model] : models_) {
+      placement_.Divide(fleet_.ServersOf(service), &model.speeds(),
+                        loop_->now());
+    }
   }
 
   /// Starts a graceful shutdown: reports the gateway as not ready and closes
--- a/camphorsail/placement/placement.cc
+++ b/camphorsail/placement/placement.cc
@@ -28,6 +28,9 @@
 /// Time for which a server counts as new. A server that ends soon after each
 /// start never gets warm.
 constexpr absl::Duration kNewServerTime = absl::Seconds(5);
+/// Fraction of the engines of the interactive lane, from the fastest on, that
+/// can be homes of a prefix however short a pause its streams allow.
+constexpr double kMinHomeShare = 0.34;
 /// Objective that is assumed for a route without one, in milliseconds.
 constexpr double kDefaultObjectiveMs = 1000;
 
@@ -53,19 +56,21 @@
 }
 
 /// Ranks the servers for a prefix by rendezvous hashing.
-/// @param begin, end The range of the servers that are ranked.
+/// @param may_be_home Tells of a server and its index whether it is ranked.
 /// @param count Number of ranks to determine.
 /// @return The servers with the lowest ranks, by rank; the first one is the
 /// prefix's home.
+template <typename Predicate>
 std::vector<const BackendServer*> FindHomes(const BackendServers& servers,
-                                            size_t begin,
-                                            size_t end,
+                                            const Predicate& may_be_home,
                                             uint64_t prefix,
                                             size_t count) {
   std::vector<std::pair<uint64_t, const BackendServer*>> ranked;
-  ranked.reserve(end - begin);
-  for (size_t i = begin; i < end; ++i) {
-    ranked.emplace_back(MixBits(prefix ^ servers[i]->hash), servers[i].get());
+  ranked.reserve(servers.size());
+  for (size_t i = 0; i < servers.size(); ++i) {
+    if (may_be_home(*servers[i], i)) {
+      ranked.emplace_back(MixBits(prefix ^ servers[i]->hash), servers[i].get());
+    }
   }
   count = std::min(count, ranked.size());
   std::partial_sort(
@@ -90,26 +95,49 @@
          output_tokens * engine.StepMs() / slots;
 }
 
+std::optional<double> Placement::InteractiveEngines(double engines) const {
+  if (demand_.bulk < kMinLaneDemandMs ||
+      demand_.interactive < kMinLaneDemandMs) {
+    return std::nullopt;
+  }
+  const double interactive =
+      demand_.interactive * settings_.interactive_headroom / kMsPerSecond;
+  const double bulk = demand_.bulk / kMsPerSecond;
+  const double proportional = engines * interactive / (interactive + bulk);
+  return std::clamp(std::max(proportional, interactive),
+                    engines * settings_.min_interactive_fraction,
+                    engines * settings_.max_interactive_fraction);
+}
+
 size_t Placement::BulkEngines(size_t engines) const {
   if (engines < 2 || demand_.bulk < kMinLaneDemandMs) {
     return 0;
   }
-  if (demand_.interactive < kMinLaneDemandMs) {
+  const auto count = static_cast<double>(engines);
+  const std::optional<double> wanted = InteractiveEngines(count);
+  if (!wanted.has_value()) {
     return engines;
   }
-  const auto count = static_cast<double>(engines);
-  const double interactive =
-      demand_.interactive * settings_.interactive_headroom / kMsPerSecond;
-  const double bulk = demand_.bulk / kMsPerSecond;
-  const double proportional = count * interactive / (interactive + bulk);
-  const double wanted = std::clamp(std::max(proportional, interactive),
-                                   count * settings_.min_interactive_fraction,
-                                   count * settings_.max_interactive_fraction);
   const double interactive_engines =
-      std::clamp(std::round(wanted), 1.0, count - 1);
+      std::clamp(std::round(*wanted), 1.0, count - 1);
   return engines - static_cast<size_t>(interactive_engines);
 }
 
+void Placement::Divide(const BackendServers& servers,
+                       ServiceSpeeds* speeds,
+                       MonoTime now) const {
+  speeds->Update(servers);
+  double capacity = 0;
+  for (const Ref<BackendServer>& server : servers) {
+    capacity += 1 / server->speed.lasting();
+  }
+  std::optional<double> share = InteractiveEngines(capacity);
+  if (share.has_value()) {
+    *share /= capacity;
+  }
+  speeds->Divide(servers, servers.empty() ? std::nullopt : share, now);
+}
+
 Placement::LaneLoad Placement::LoadOf(bool is_interactive,
                                       size_t engines) const {
   if (engines == 0) {
@@ -173,16 +201,28 @@
                                   const PlacementRequest& request,
                                   const ServiceModel& model,
                                   MonoTime now) const {
-  // All gateways keep the engines in the same order (by hash), so that they
-  // split them into the same lanes.
-  const size_t bulk = BulkEngines(servers.size());
   Lane lane;
+  lane.by_speed = model.speeds().is_divided();
+  lane.is_interactive = request.is_interactive;
+  size_t bulk = 0;
+  if (lane.by_speed) {
+    lane.max_home_factor = MaxHomeFactor(request, model);
+    bulk = servers.size() - model.speeds().interactive_engines();
+  } else {
+    // All gateways keep the engines in the same order (by hash), so that they
+    // split them into the same lanes.
+    bulk = BulkEngines(servers.size());
+  }
   lane.begin = request.is_interactive && bulk < servers.size() ? bulk : 0;
   lane.end = request.is_interactive || bulk == 0 ? servers.size() : bulk;
   const uint64_t prefix = LongestPrefix(request);
   lane.hot_homes = HotHomes(prefix, request, model, now);
-  lane.homes = FindHomes(servers, lane.begin, lane.end, prefix,
-                         static_cast<size_t>(settings_.max_prefix_rank));
+  lane.homes = FindHomes(
+      servers,
+      [&](const BackendServer& server, size_t index) {
+        return lane.MayBeHome(server, index);
+      },
+      prefix, static_cast<size_t>(settings_.max_prefix_rank));
   lane.load = LoadOf(request.is_interactive, lane.end - lane.begin);
   lane.other_load =
       LoadOf(!request.is_interactive, servers.size() - (lane.end - lane.begin));
@@ -194,7 +234,7 @@
 int Placement::PrefixRank(const BackendServer& server,
                           size_t index,
                           const Lane& lane) const {
-  if (index < lane.begin || index >= lane.end) {
+  if (!lane.Contains(server, index)) {
     return -1;
   }
   const auto found = std::find(lane.homes.begin(), lane.homes.end(), &server);
@@ -212,6 +252,66 @@
                     1.0);
 }
 
+double Placement::LatePauseRisk(double pause_ms,
+                                absl::Duration max_event_gap,
+                                double spell_risk,
+                                const ServiceSpeeds& speeds) const {
+  const double risk = LatePauseRisk(pause_ms, max_event_gap);
+  if (spell_risk <= 0) {
+    return risk;
+  }
+  return risk * (1 - spell_risk) +
+         spell_risk *
+             LatePauseRisk(pause_ms * speeds.spell_slowdown(), max_event_gap);
+}
+
+double Placement::MaxHomeFactor(const PlacementRequest& request,
+                                const ServiceModel& model) const {
+  if (!request.is_interactive ||
+      request.max_event_gap <= absl::ZeroDuration()) {
+    return std::numeric_limits<double>::infinity();
+  }
+  const double pause_ms =
+      model.engine().PauseMs(
+          request.tokens_per_event,
+          model.engine().PrefillMs(model.LaneOf(true).unshared_tokens)) *
+      model.speeds().spell_slowdown();
+  const double harmless = absl::ToDoubleMilliseconds(request.max_event_gap) *
+                          settings_.harmless_pause_fraction;
+  return std::max(model.speeds().InteractiveFactor(kMinHomeShare),
+                  harmless / std::max(pause_ms, 1.0));
+}
+
+bool Placement::MustStayInLane(const BackendServers& servers,
+                               const PlacementRequest& request,
+                               const Lane& lane,
+                               MonoTime now) {
+  if (!lane.by_speed || !request.is_interactive) {
+    return false;
+  }
+  for (size_t i = 0; i < servers.size(); ++i) {
+    const BackendServer& server = *servers[i];
+    if (lane.Contains(server, i) &&
+        IsUsable(server, request, /*accepting_only=*/true, now) &&
+        server.Load(now) + 1 <= server.slots &&
+        QueueMs(server, request, now) < ObjectiveMs(request)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool Placement::IsUsable(const BackendServer& server,
+                         const PlacementRequest& request,
+                         bool accepting_only,
+                         MonoTime now) {
+  const bool has_failed =
+      std::find(request.failed_servers.begin(), request.failed_servers.end(),
+                server.id) != request.failed_servers.end();
+  return !has_failed && server.wishes.AcceptsRequests(now) &&
+         (!accepting_only || server.health.AcceptsRequests(now));
+}
+
 double Placement::QueueMs(const BackendServer& server,
                           const PlacementRequest& request,
                           MonoTime now) {
@@ -253,7 +353,13 @@
   const double reread_tokens = std::max(0.0, shared_tokens - cached_tokens);
   Estimate estimate;
   estimate.uncached_tokens = std::max(0.0, prompt_tokens - cached_tokens);
-  estimate.prefill_ms = engine.PrefillMs(estimate.uncached_tokens);
+  const double usual_prefill_ms = engine.PrefillMs(estimate.uncached_tokens);
+  const ServiceSpeeds& speeds = model.speeds();
+  const double lasting = server.speed.lasting();
+  estimate.slowness = speeds.SlownessOf(
+      server.speed,
+      absl::Milliseconds(usual_prefill_ms + engine.FirstEventMs()), now);
+  estimate.prefill_ms = usual_prefill_ms * estimate.slowness;
   const double load = server.Load(now);
   const double backlog_ms =
       absl::ToDoubleMilliseconds(server.PromptBacklog(now));
@@ -261,7 +367,8 @@
   estimate.queue_ms = QueueMs(server, request, now) * slowdown;
   estimate.expected_ms =
       estimate.queue_ms +
-      (estimate.prefill_ms + engine.FirstEventMs()) * slowdown;
+      (estimate.prefill_ms + engine.FirstEventMs() * estimate.slowness) *
+          slowdown;
   estimate.cost = WaitCost(estimate.expected_ms / ObjectiveMs(request)) +
                   settings_.load_cost * load / server.slots;
   if (prompt_tokens > 0) {
@@ -282,17 +389,28 @@
   const absl::Duration max_event_gap = streams_of_engine.max_event_gap;
   const double streams = in_lane ? load : std::max(1.0, load);
   const int tokens = request.tokens_per_event;
-  estimate.cost +=
-      streams *
-      (LatePauseRisk(engine.PauseMs(tokens, backlog_ms + estimate.prefill_ms),
-                     max_event_gap) -
-       LatePauseRisk(engine.PauseMs(tokens, backlog_ms), max_event_gap));
+  const double spell_risk =
+      speeds.SpellRisk(absl::Seconds(request.slot_seconds));
+  const auto risk = [&](double prompts_ms, absl::Duration limit) {
+    // `PauseMs` is for an engine of usual speed, the backlog for this one.
+    return LatePauseRisk(lasting * engine.PauseMs(tokens, prompts_ms / lasting),
+                         limit, spell_risk, speeds);
+  };
+  const double added_ms = usual_prefill_ms * lasting;
+  estimate.cost += streams * (risk(backlog_ms + added_ms, max_event_gap) -
+                              risk(backlog_ms, max_event_gap));
   if (!in_lane && request.is_interactive) {
     const double bulk_prefill_ms =
-        engine.PrefillMs(model.LaneOf(false).unshared_tokens);
+        lasting * engine.PrefillMs(model.LaneOf(false).unshared_tokens);
     estimate.cost +=
-        LatePauseRisk(engine.PauseMs(tokens, backlog_ms + bulk_prefill_ms),
-                      model.LaneOf(true).max_event_gap);
+        risk(backlog_ms + bulk_prefill_ms, model.LaneOf(true).max_event_gap);
+  } else if (speeds.is_uneven()) {
+    // The stream itself is late by a pause beside the prompts that the engine
+    // has and one more of its lane.
+    const double lane_prefill_ms =
+        lasting *
+        engine.PrefillMs(model.LaneOf(is_interactive_engine).unshared_tokens);
+    estimate.cost += risk(backlog_ms + lane_prefill_ms, request.max_event_gap);
   }
   return estimate;
 }
@@ -317,6 +435,7 @@
                                   MonoTime now) {
   const Lane lane =
       request.is_generation ? LaneOf(servers, request, model, now) : Lane();
+  const bool stays_in_lane = MustStayInLane(servers, request, lane, now);
   // The first pass skips servers that are suspended after failures. The second
   // pass considers them too, in case there is no other server. Servers that do
   // not want a request get none.
@@ -327,12 +446,8 @@
     int ties = 0;
     for (size_t i = 0; i < servers.size(); ++i) {
       const Ref<BackendServer>& server = servers[i];
-      const bool has_failed =
-          std::find(request.failed_servers.begin(),
-                    request.failed_servers.end(),
-                    server->id) != request.failed_servers.end();
-      if (has_failed || !server->wishes.AcceptsRequests(now) ||
-          (accepting_only && !server->health.AcceptsRequests(now))) {
+      if (!IsUsable(*server, request, accepting_only, now) ||
+          (stays_in_lane && !lane.Contains(*server, i))) {
         continue;
       }
       Estimate estimate =
@@ -359,6 +474,7 @@
       best_cost = std::min(best_cost, estimate.cost);
       best.server = server;
       best.uncached_tokens = estimate.uncached_tokens;
+      best.slowness = estimate.slowness;
       best.prefill = absl::Milliseconds(estimate.prefill_ms);
       best.queue = absl::Milliseconds(estimate.queue_ms);
       best.expected = absl::Milliseconds(estimate.expected_ms);
--- a/camphorsail/placement/placement.h
+++ b/camphorsail/placement/placement.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -31,6 +32,9 @@
   bool is_interactive = false;
   /// Latency objective for the first event or the answer; zero for none.
   absl::Duration objective;
+  /// Longest pause between two events that the stream allows; zero for no
+  /// limit.
+  absl::Duration max_event_gap;
   /// Output tokens in each event of the stream.
   int tokens_per_event = 1;
   /// Time for which a request of this route typically occupies a slot of its
@@ -59,6 +63,9 @@
 /// The chosen server and the estimates behind the choice.
 struct PlacementChoice {
   Ref<BackendServer> server;
+  /// How long work on the request is expected to take on the server, as a
+  /// multiple of what is usual in the service.
+  double slowness = 1;
   /// Estimated time to prefill the part of the prompt that the server does not
   /// have cached; zero for calls to plain services.
   absl::Duration prefill;
@@ -106,6 +113,13 @@
   /// @param count Number of gateways that share the servers, this one included.
   void SetGatewayCount(int count) { gateway_count_ = count; }
 
+  /// Judges how the servers of a service differ in speed, and divides them into
+  /// the two lanes if they do. To be called every time that the load of the
+  /// other gateways has arrived.
+  void Divide(const BackendServers& servers,
+              ServiceSpeeds* speeds,
+              MonoTime now) const;
+
   /// Counts a new request to a model engine.
   void OnRequest(const PlacementRequest& request, MonoTime now);
 
@@ -132,6 +146,7 @@
   struct Estimate {
     double cost = 0;
     double uncached_tokens = 0;
+    double slowness = 1;
     double prefill_ms = 0;
     double queue_ms = 0;
     double expected_ms = 0;
@@ -145,10 +160,16 @@
     double utilization = 0;
   };
 
-  /// The engines that a request prefers, a range of the ordered engines.
+  /// The engines that a request prefers.
   struct Lane {
+    /// True when the lanes are divided by speed, see `ServiceSpeeds`. Otherwise
+    /// the lane is a range of the ordered engines.
+    bool by_speed = false;
+    bool is_interactive = false;
     size_t begin = 0;
     size_t end = 0;
+    /// Lasting factor up to which an engine of the lane can be a home.
+    double max_home_factor = 0;
     /// Load of the engines of the request's lane and of the other engines.
     LaneLoad load;
     LaneLoad other_load;
@@ -160,6 +181,15 @@
     /// Fraction of the prefixes with a second home, from 0 to 1, taken as the
     /// probability that the engine of rank 1 has the prefix cached.
     double second_home_share = 0;
+
+    bool Contains(const BackendServer& server, size_t index) const {
+      return by_speed ? server.speed.is_interactive() == is_interactive
+                      : index >= begin && index < end;
+    }
+    bool MayBeHome(const BackendServer& server, size_t index) const {
+      return Contains(server, index) &&
+             (!by_speed || server.speed.lasting() <= max_home_factor);
+    }
   };
 
   Lane LaneOf(const BackendServers& servers,
@@ -202,6 +232,29 @@
   /// limit.
   /// @return Probability that the pause makes the stream late.
   double LatePauseRisk(double pause_ms, absl::Duration max_event_gap) const;
+  /// @return The same, for a stream that meets a spell of its server with the
+  /// probability `spell_risk`.
+  double LatePauseRisk(double pause_ms,
+                       absl::Duration max_event_gap,
+                       double spell_risk,
+                       const ServiceSpeeds& speeds) const;
+  /// @return Lasting factor up to which a stream is not late by a pause when it
+  /// meets a spell beside one more prompt of the interactive lane; larger when
+  /// too few engines are as fast.
+  double MaxHomeFactor(const PlacementRequest& request,
+                       const ServiceModel& model) const;
+  /// @return True when the request has to stay in its lane: the lanes are
+  /// divided by speed, the request is an interactive stream, and an engine of
+  /// its lane has room.
+  static bool MustStayInLane(const BackendServers& servers,
+                             const PlacementRequest& request,
+                             const Lane& lane,
+                             MonoTime now);
+  /// @return False when the server cannot take the request at all.
+  static bool IsUsable(const BackendServer& server,
+                       const PlacementRequest& request,
+                       bool accepting_only,
+                       MonoTime now);
   /// @return Rank of an engine for the prefix, see `PlacementChoice`.
   int PrefixRank(const BackendServer& server,
                  size_t index,
@@ -214,6 +267,11 @@
   /// @param engines Number of engines of the service.
   /// @return Number of them that form the lane of the bulk streams.
   size_t BulkEngines(size_t engines) const;
+  /// @param engines Number of engines of usual speed that are as fast as the
+  /// engines of the service together.
+  /// @return Those of them that the interactive streams need; nothing when
+  /// there is only one kind of stream.
+  std::optional<double> InteractiveEngines(double engines) const;
 
   const PlacementSettings settings_;
   EngineDemand demand_;
