The lasting factor is a quantile of the latest values; lost polls move no engine

The running estimate of a low quantile needed hundreds of values to recover from its first ones, so that a fast server of a fleet of which half is half as fast was placed in the lane of the slow ones. The factor is now the quantile of the latest 64 values. One value of the demand after lost polls counted for their whole time and moved an engine; it counts for 1 s at most.

Evidence: placement_test; HalfOfTheFleetHalfAsFastIsUsedByWhatItCanDo failed with the running estimate at the quantile 0.25, BurstOfDemandDoesNotMoveEngines without the bound of the elapsed time.

--- a/camphorsail/placement/server_speed.cc
+++ b/camphorsail/placement/server_speed.cc
@@ -7,18 +7,26 @@
 
 void ServerSpeed::OnWork(double ratio) {
   if (ratio > 0) {
-    own_.Add(ratio);
+    own_[values_ % kCapacity] = static_cast<float>(ratio);
+    ++values_;
     ++new_values_;
   }
 }
 
 SpeedSamples ServerSpeed::TakeOwn() {
-  if (!own_.IsReady()) {
+  if (values_ < kMinValues || new_values_ == 0) {
     return {};
   }
+  const size_t size = std::min(values_, kCapacity);
+  std::array<float, kCapacity> sorted = own_;
+  const auto quantile =
+      sorted.begin() +
+      static_cast<std::ptrdiff_t>(static_cast<double>(size) * kQuantile);
+  std::nth_element(sorted.begin(), quantile,
+                   sorted.begin() + static_cast<std::ptrdiff_t>(size));
   const uint32_t weight =
       std::min(std::exchange(new_values_, 0), kMaxOwnWeight);
-  const SpeedSamples own = SpeedSamples::Of(own_.value(), weight);
+  const SpeedSamples own = SpeedSamples::Of(*quantile, weight);
   taken_ += own;
   return own;
 }
--- a/camphorsail/placement/server_speed.h
+++ b/camphorsail/placement/server_speed.h
@@ -1,10 +1,11 @@
 #ifndef CAMPHORSAIL_PLACEMENT_SERVER_SPEED_H_
 #define CAMPHORSAIL_PLACEMENT_SERVER_SPEED_H_
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 
 #include "camphorsail/base/mono_time.h"
-#include "camphorsail/placement/quantile_estimate.h"
 #include "camphorsail/placement/speed_samples.h"
 
 namespace camphorsail {
@@ -64,7 +65,11 @@
  private:
   /// Fraction of the measured times below the lasting factor. Below the median,
   /// because spells and prompts of other requests lengthen some times.
-  static constexpr double kQuantile = 0.35;
+  static constexpr double kQuantile = 0.25;
+  /// Values from which it is taken. They come from several streams, so that a
+  /// spell lengthens only some of them.
+  static constexpr size_t kCapacity = 64;
+  static constexpr size_t kMinValues = 8;
   /// Largest weight of this gateway in one exchange of loads.
   static constexpr uint32_t kMaxOwnWeight = 32;
   /// Weight from which on the factor is known.
@@ -73,7 +78,9 @@
   /// that the factor follows a lasting change.
   static constexpr double kMaxWeight = 512;
 
-  QuantileEstimate own_{kQuantile};
+  /// The latest values of this gateway, and their number so far.
+  std::array<float, kCapacity> own_{};
+  size_t values_ = 0;
   /// Values since the last call of `TakeOwn`.
   uint32_t new_values_ = 0;
   /// What was taken since the last call of `OnOthers`.
--- a/camphorsail/placement/service_speeds.cc
+++ b/camphorsail/placement/service_speeds.cc
@@ -23,6 +23,9 @@
 /// Time constant with which the lanes follow the demand. Each change of a lane
 /// makes shared prefixes be read again.
 constexpr double kDivisionSeconds = 20;
+/// Time for which one value of the demand counts at most, so that one value
+/// after lost polls moves no engine.
+constexpr double kLongestElapsedSeconds = 1;
 /// Parts of the capacity in which the lanes are divided, and the distance, in
 /// parts, at which a division is left.
 constexpr double kShareParts = 20;
@@ -177,9 +180,10 @@
   if (!was_divided) {
     share_ = *interactive_share;
   }
+  const double elapsed = std::min(absl::ToDoubleSeconds(now - divided_at_),
+                                  kLongestElapsedSeconds);
   share_ += (*interactive_share - share_) *
-            (1 - std::exp(-absl::ToDoubleSeconds(now - divided_at_) /
-                          kDivisionSeconds));
+            (1 - std::exp(-elapsed / kDivisionSeconds));
   divided_at_ = now;
   if (!was_divided ||
       std::abs(share_ - share_in_use_) * kShareParts > kLeaveShare) {
