The memory of an engine bounds what it is sent

An engine with free slots was sent prompts for which its KV cache had no room. The tokens that requests need (prompt, and the expected answer) are counted by urgency and shared with the loads, where the routing table states the capacity. A request goes to a server with room; if all are full of requests that are at least as urgent, it is refused as overloaded, not run. Less urgent requests never keep a more urgent one out, and requests that wait for a slot hold nothing.

--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -382,11 +382,12 @@
   ServiceModel& model = ModelOf(*exchange);
   exchange->placement.slot_seconds =
       model.ProfileOf(*exchange->route).stream_seconds();
+  SetMemoryNeed(exchange);
   const PlacementChoice choice =
       placement_.Choose(fleet_.ServersOf(exchange->service->name),
                         exchange->placement, model, now);
   if (!choice.server) {
-    RefuseWithoutServer(exchange);
+    RefuseWithoutServer(exchange, choice);
     return;
   }
   BackendServer& server = *choice.server;
@@ -417,6 +418,8 @@
   attempt.is_server_full = attempt.load >= server.slots;
   attempt.number =
       server.OnDispatch(choice.prefill, exchange->placement.urgency, now);
+  server.HoldTokens(exchange->placement.memory_tokens,
+                    exchange->placement.urgency);
   server.isolated_requests += exchange->placement.isolated ? 1 : 0;
   server.prefixes.Record(exchange->placement.prefixes, now);
   attempt.connection = pool_.Take(server.address);
@@ -434,23 +437,6 @@
                             MakeHandlers(exchange));
 }
 
-void Gateway::RefuseWithoutServer(Exchange* exchange) {
-  const MonoTime now = loop_->now();
-  MonoTime accepts_from = MonoTime::Infinite();
-  for (const Ref<BackendServer>& server :
-       fleet_.ServersOf(exchange->service->name)) {
-    accepts_from = std::min(accepts_from, server->wishes.AcceptsFrom(now));
-  }
-  if (accepts_from > now && accepts_from != MonoTime::Infinite()) {
-    exchange->servers_rest_for = accepts_from - now;
-    Refuse(exchange, ErrorKind::kNoBackendServer,
-           "the servers of the service have asked for a pause");
-    return;
-  }
-  Refuse(exchange, ErrorKind::kNoBackendServer,
-         "no backend server of the service is available");
-}
-
 absl::Duration Gateway::AdmissionLimit(const Exchange& exchange,
                                        const PlacementChoice& choice) const {
   const Route& route = *exchange.route;
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -273,7 +273,9 @@
   void Finish(Exchange* exchange);
 
   /// Refuses a request that no server takes.
-  void RefuseWithoutServer(Exchange* exchange);
+  void RefuseWithoutServer(Exchange* exchange, const PlacementChoice& choice);
+  /// Sets what the request needs of a server's memory, if that is stated.
+  void SetMemoryNeed(Exchange* exchange);
   /// @return Time after which the caller should retry a refused request.
   absl::Duration RetryAfter(const Exchange& exchange, ErrorKind kind);
   /// @return The retry budget of a service.
--- a/camphorsail/gateway/gateway_answer.cc
+++ b/camphorsail/gateway/gateway_answer.cc
@@ -448,6 +448,8 @@
   }
   attempt.server->isolated_requests -= exchange->placement.isolated ? 1 : 0;
   attempt.server->OnFinished(exchange->placement.urgency);
+  attempt.server->ReleaseTokens(exchange->placement.memory_tokens,
+                                exchange->placement.urgency);
   BackendConnection* connection = std::exchange(attempt.connection, nullptr);
   if (cancel && connection != nullptr) {
     connection->Cancel();
@@ -459,6 +461,29 @@
   exchange->attempt.reset();
 }
 
+void Gateway::RefuseWithoutServer(Exchange* exchange,
+                                  const PlacementChoice& choice) {
+  if (choice.is_memory_full) {
+    Refuse(exchange, ErrorKind::kOverloaded,
+           "no backend server has memory for the request");
+    return;
+  }
+  const MonoTime now = loop_->now();
+  MonoTime accepts_from = MonoTime::Infinite();
+  for (const Ref<BackendServer>& server :
+       fleet_.ServersOf(exchange->service->name)) {
+    accepts_from = std::min(accepts_from, server->wishes.AcceptsFrom(now));
+  }
+  if (accepts_from > now && accepts_from != MonoTime::Infinite()) {
+    exchange->servers_rest_for = accepts_from - now;
+    Refuse(exchange, ErrorKind::kNoBackendServer,
+           "the servers of the service have asked for a pause");
+    return;
+  }
+  Refuse(exchange, ErrorKind::kNoBackendServer,
+         "no backend server of the service is available");
+}
+
 void Gateway::Refuse(Exchange* exchange,
                      ErrorKind kind,
                      std::string_view reason) {
--- a/camphorsail/placement/backend_server.cc
+++ b/camphorsail/placement/backend_server.cc
@@ -80,6 +80,7 @@
   load.in_flight = static_cast<uint32_t>(in_flight_);
   load.answers = std::exchange(new_answers_, 0);
   load.requests_by_urgency = own_requests_;
+  load.tokens_by_urgency = own_tokens_;
   const SpeedSamples speed_samples = speed.TakeOwn();
   if (speed.is_shared()) {
     load.speed = speed_samples;
@@ -138,6 +139,16 @@
   return Load(now) - less_urgent;
 }
 
+double BackendServer::TokensUpTo(Urgency urgency, MonoTime now) const {
+  UrgencyCounts tokens = own_tokens_;
+  if (KnowsOtherGateways(now)) {
+    tokens += other_gateways_.tokens_by_urgency;
+  }
+  const double load = LoadUpTo(urgency, now);
+  const double running = load > slots ? slots / load : 1;
+  return running * (tokens.at(urgency) + tokens.MoreUrgentThan(urgency));
+}
+
 absl::Duration BackendServer::BacklogUpTo(Urgency urgency, MonoTime now) const {
   const absl::Duration own = OwnBacklogUpTo(urgency, now);
   if (!KnowsOtherGateways(now)) {
--- a/camphorsail/placement/backend_server.h
+++ b/camphorsail/placement/backend_server.h
@@ -11,6 +11,7 @@
 #include "camphorsail/base/mono_time.h"
 #include "camphorsail/base/network_address.h"
 #include "camphorsail/base/ref.h"
+#include "camphorsail/base/units.h"
 #include "camphorsail/base/urgency.h"
 #include "camphorsail/placement/attempt_health.h"
 #include "camphorsail/placement/gateway_server_load.h"
@@ -72,6 +73,14 @@
   void OnPromptDone(absl::Duration prefill, Urgency urgency, MonoTime now);
   /// Records that a request on the server has ended.
   void OnFinished(Urgency urgency);
+  /// Counts the tokens that a request which is sent to the server needs in its
+  /// memory, and those of one that has ended.
+  void HoldTokens(Tokens tokens, Urgency urgency) {
+    own_tokens_.Add(urgency, static_cast<uint32_t>(tokens.value()));
+  }
+  void ReleaseTokens(Tokens tokens, Urgency urgency) {
+    own_tokens_.Remove(urgency, static_cast<uint32_t>(tokens.value()));
+  }
   /// Takes the load that the server reports in an answer.
   void OnReport(const ReportedLoad& load, MonoTime now);
   /// Takes the load that the other gateways together have on the server.
@@ -90,6 +99,10 @@
   /// @return Estimated requests of all gateways on the server that are at least
   /// as urgent.
   double LoadUpTo(Urgency urgency, MonoTime now) const;
+  /// @return Estimated tokens in the server's memory of the running requests of
+  /// all gateways that are at least as urgent. Requests that wait for a slot
+  /// hold none.
+  double TokensUpTo(Urgency urgency, MonoTime now) const;
   /// @return Estimated time until the engine has read the prompts of all
   /// gateways.
   absl::Duration PromptBacklog(MonoTime now) const {
@@ -124,6 +137,8 @@
   int in_flight_ = 0;
   /// The same requests by urgency.
   UrgencyCounts own_requests_;
+  /// Tokens that these requests need in the server's memory.
+  UrgencyCounts own_tokens_;
   ReportedLoad report_;
   MonoTime reported_at_;
   /// Requests of this gateway on the server when the report arrived.
--- a/camphorsail/placement/gateway_server_load.h
+++ b/camphorsail/placement/gateway_server_load.h
@@ -30,6 +30,9 @@
   /// How long work took on the server since the report before. Only sent for
   /// servers that differ in speed, see `ServiceSpeeds`.
   SpeedSamples speed{};
+  /// Tokens that the requests hold in the server's memory. Only counted for
+  /// services whose memory is stated.
+  UrgencyCounts tokens_by_urgency{};
 
   GatewayServerLoad& operator+=(const GatewayServerLoad& other) {
     in_flight += other.in_flight;
@@ -38,6 +41,7 @@
     requests_by_urgency += other.requests_by_urgency;
     backlog_ms_by_urgency += other.backlog_ms_by_urgency;
     speed += other.speed;
+    tokens_by_urgency += other.tokens_by_urgency;
     return *this;
   }
   /// @param other A load that was added before.
@@ -48,6 +52,7 @@
     requests_by_urgency -= other.requests_by_urgency;
     backlog_ms_by_urgency -= other.backlog_ms_by_urgency;
     speed -= other.speed;
+    tokens_by_urgency -= other.tokens_by_urgency;
     return *this;
   }
 
@@ -58,7 +63,7 @@
 
   template <typename Packer>
   void msgpack_pack(Packer& packer) const {
-    if (speed.IsEmpty()) {
+    if (speed.IsEmpty() && tokens_by_urgency == UrgencyCounts()) {
       msgpack::type::make_define_array(server, in_flight, backlog_ms, answers,
                                        requests_by_urgency,
                                        backlog_ms_by_urgency)
@@ -66,14 +71,14 @@
     } else {
       msgpack::type::make_define_array(
           server, in_flight, backlog_ms, answers, requests_by_urgency,
-          backlog_ms_by_urgency, speed.steps, speed.weight)
+          backlog_ms_by_urgency, speed.steps, speed.weight, tokens_by_urgency)
           .msgpack_pack(packer);
     }
   }
   void msgpack_unpack(const msgpack::object& object) {
-    msgpack::type::make_define_array(server, in_flight, backlog_ms, answers,
-                                     requests_by_urgency, backlog_ms_by_urgency,
-                                     speed.steps, speed.weight)
+    msgpack::type::make_define_array(
+        server, in_flight, backlog_ms, answers, requests_by_urgency,
+        backlog_ms_by_urgency, speed.steps, speed.weight, tokens_by_urgency)
         .msgpack_unpack(object);
   }
 };
--- a/camphorsail/placement/placement.cc
+++ b/camphorsail/placement/placement.cc
@@ -285,14 +285,14 @@
 bool Placement::MustStayInLane(const BackendServers& servers,
                                const PlacementRequest& request,
                                const Lane& lane,
+                               const Filter& filter,
                                MonoTime now) {
   if (!lane.by_speed || !request.is_interactive) {
     return false;
   }
   for (size_t i = 0; i < servers.size(); ++i) {
     const BackendServer& server = *servers[i];
-    if (lane.Contains(server, i) &&
-        IsUsable(server, request, /*accepting_only=*/true, now) &&
+    if (lane.Contains(server, i) && IsUsable(server, request, filter, now) &&
         server.Load(now) + 1 <= server.slots &&
         QueueMs(server, request, now) < ObjectiveMs(request)) {
       return true;
@@ -303,13 +303,25 @@
 
 bool Placement::IsUsable(const BackendServer& server,
                          const PlacementRequest& request,
-                         bool accepting_only,
+                         const Filter& filter,
                          MonoTime now) {
   const bool has_failed =
       std::find(request.failed_servers.begin(), request.failed_servers.end(),
                 server.id) != request.failed_servers.end();
   return !has_failed && server.wishes.AcceptsRequests(now) &&
-         (!accepting_only || server.health.AcceptsRequests(now));
+         (!filter.accepting_only || server.health.AcceptsRequests(now)) &&
+         (!filter.memory.has_value() ||
+          HasMemory(server, request, *filter.memory, now));
+}
+
+bool Placement::HasMemory(const BackendServer& server,
+                          const PlacementRequest& request,
+                          Urgency urgency,
+                          MonoTime now) {
+  const double held = server.TokensUpTo(urgency, now);
+  return held <= 0 ||
+         held + static_cast<double>(request.memory_tokens.value()) <=
+             static_cast<double>(request.server_memory.value());
 }
 
 double Placement::QueueMs(const BackendServer& server,
@@ -429,65 +441,95 @@
   return estimate;
 }
 
+PlacementChoice Placement::ChooseAmong(const BackendServers& servers,
+                                       const PlacementRequest& request,
+                                       const ServiceModel& model,
+                                       const Lane& lane,
+                                       const Filter& filter,
+                                       MonoTime now) {
+  const bool stays_in_lane =
+      MustStayInLane(servers, request, lane, filter, now);
+  PlacementChoice best;
+  double best_cost = std::numeric_limits<double>::infinity();
+  double next_cost = best_cost;
+  int ties = 0;
+  for (size_t i = 0; i < servers.size(); ++i) {
+    const Ref<BackendServer>& server = servers[i];
+    if (!IsUsable(*server, request, filter, now) ||
+        (stays_in_lane && !lane.Contains(*server, i))) {
+      continue;
+    }
+    Estimate estimate =
+        request.is_generation
+            ? EstimateGeneration(*server, i, request, lane, model, now)
+            : EstimateCall(*server, request, model, now);
+    if (request.isolated) {
+      estimate.cost = server->Load(now) / server->slots +
+                      server->isolated_requests +
+                      (now - server->known_since < kNewServerTime ? 1 : 0);
+    }
+    estimate.cost += settings_.failure_cost * server->health.FailureRate(now);
+    if (server->failure_domain != settings_.failure_domain) {
+      estimate.cost += settings_.other_failure_domain_cost;
+    }
+    ++best.candidates;
+    next_cost = std::min(next_cost, std::max(best_cost, estimate.cost));
+    if (estimate.cost < best_cost - kCostTie) {
+      ties = 0;
+    } else if (estimate.cost > best_cost + kCostTie ||
+               random_.Below(static_cast<uint64_t>(++ties) + 1) != 0) {
+      continue;
+    }
+    best_cost = std::min(best_cost, estimate.cost);
+    best.server = server;
+    best.uncached_tokens = estimate.uncached_tokens;
+    best.slowness = estimate.slowness;
+    best.prefill = absl::Milliseconds(estimate.prefill_ms);
+    best.queue = absl::Milliseconds(estimate.queue_ms);
+    best.expected = absl::Milliseconds(estimate.expected_ms);
+    best.prefix_rank =
+        request.is_generation ? PrefixRank(*server, i, lane) : -1;
+  }
+  best.cost = best_cost;
+  best.next_cost = next_cost;
+  return best;
+}
+
 PlacementChoice Placement::Choose(const BackendServers& servers,
                                   const PlacementRequest& request,
                                   const ServiceModel& model,
                                   MonoTime now) {
   const Lane lane =
       request.is_generation ? LaneOf(servers, request, model, now) : Lane();
-  const bool stays_in_lane = MustStayInLane(servers, request, lane, now);
-  // The first pass skips servers that are suspended after failures. The second
-  // pass considers them too, in case there is no other server. Servers that do
-  // not want a request get none.
-  for (const bool accepting_only : {true, false}) {
-    PlacementChoice best;
-    double best_cost = std::numeric_limits<double>::infinity();
-    double next_cost = best_cost;
-    int ties = 0;
-    for (size_t i = 0; i < servers.size(); ++i) {
-      const Ref<BackendServer>& server = servers[i];
-      if (!IsUsable(*server, request, accepting_only, now) ||
-          (stays_in_lane && !lane.Contains(*server, i))) {
-        continue;
-      }
-      Estimate estimate =
-          request.is_generation
-              ? EstimateGeneration(*server, i, request, lane, model, now)
-              : EstimateCall(*server, request, model, now);
-      if (request.isolated) {
-        estimate.cost = server->Load(now) / server->slots +
-                        server->isolated_requests +
-                        (now - server->known_since < kNewServerTime ? 1 : 0);
-      }
-      estimate.cost += settings_.failure_cost * server->health.FailureRate(now);
-      if (server->failure_domain != settings_.failure_domain) {
-        estimate.cost += settings_.other_failure_domain_cost;
-      }
-      ++best.candidates;
-      next_cost = std::min(next_cost, std::max(best_cost, estimate.cost));
-      if (estimate.cost < best_cost - kCostTie) {
-        ties = 0;
-      } else if (estimate.cost > best_cost + kCostTie ||
-                 random_.Below(static_cast<uint64_t>(++ties) + 1) != 0) {
-        continue;
-      }
-      best_cost = std::min(best_cost, estimate.cost);
-      best.server = server;
-      best.uncached_tokens = estimate.uncached_tokens;
-      best.slowness = estimate.slowness;
-      best.prefill = absl::Milliseconds(estimate.prefill_ms);
-      best.queue = absl::Milliseconds(estimate.queue_ms);
-      best.expected = absl::Milliseconds(estimate.expected_ms);
-      best.prefix_rank =
-          request.is_generation ? PrefixRank(*server, i, lane) : -1;
-    }
-    if (best.server) {
-      best.cost = best_cost;
-      best.next_cost = next_cost;
-      return best;
+  // Servers that do not want a request get none. Those that are suspended after
+  // failures are considered in case there is no other server.
+  constexpr Urgency kLeastUrgent(kUrgencyLevels - 1);
+  std::vector<Filter> filters = {{true, std::nullopt}, {false, std::nullopt}};
+  const bool is_memory_limited = request.server_memory > Tokens(0);
+  if (is_memory_limited) {
+    // Less urgent requests do not take the memory of more urgent ones. A server
+    // that they fill starts the more urgent request when one of them ends.
+    filters = {{true, kLeastUrgent},
+               {true, request.urgency},
+               {false, kLeastUrgent},
+               {false, request.urgency}};
+  }
+  for (const Filter& filter : filters) {
+    PlacementChoice choice =
+        ChooseAmong(servers, request, model, lane, filter, now);
+    if (choice.server) {
+      return choice;
     }
   }
-  return {};
+  PlacementChoice none;
+  none.is_memory_full =
+      is_memory_limited &&
+      std::any_of(
+          servers.begin(), servers.end(),
+          [&](const Ref<BackendServer>& server) {
+            return IsUsable(*server, request, {false, std::nullopt}, now);
+          });
+  return none;
 }
 
 }  // namespace camphorsail
--- a/camphorsail/placement/placement.h
+++ b/camphorsail/placement/placement.h
@@ -40,6 +40,11 @@
   /// Time for which a request of this route typically occupies a slot of its
   /// server, in seconds.
   double slot_seconds = 1.5;
+  /// Tokens that the request needs in the memory of a server, with the expected
+  /// answer, and the memory of each server of the service; zero when the memory
+  /// is not stated.
+  Tokens memory_tokens;
+  Tokens server_memory;
   /// True for a request that may end its server: it goes to the server with
   /// the least load, but not to one that has just come back or that has another
   /// such request.
@@ -80,6 +85,8 @@
   /// Rank of the server for the prompt's prefix, 0 for the prefix's home
   /// engine; -1 for an engine outside the request's lane, and for calls.
   int prefix_rank = -1;
+  /// True when there is no server only because none has memory for the request.
+  bool is_memory_full = false;
   /// Number of servers that were compared.
   int candidates = 0;
   /// Estimated cost of the chosen server, see `PlacementSettings`.
@@ -243,18 +250,40 @@
   /// too few engines are as fast.
   double MaxHomeFactor(const PlacementRequest& request,
                        const ServiceModel& model) const;
+  /// Which servers are considered.
+  struct Filter {
+    /// Skips servers that are suspended after failures.
+    bool accepting_only = true;
+    /// Skips servers whose memory is too full for the request, counting the
+    /// requests of at least this urgency; nothing to skip none.
+    std::optional<Urgency> memory;
+  };
+
   /// @return True when the request has to stay in its lane: the lanes are
   /// divided by speed, the request is an interactive stream, and an engine of
   /// its lane has room.
   static bool MustStayInLane(const BackendServers& servers,
                              const PlacementRequest& request,
                              const Lane& lane,
+                             const Filter& filter,
                              MonoTime now);
-  /// @return False when the server cannot take the request at all.
   static bool IsUsable(const BackendServer& server,
                        const PlacementRequest& request,
-                       bool accepting_only,
+                       const Filter& filter,
                        MonoTime now);
+  /// An empty server has memory for any request, because the length of the
+  /// answer is a guess.
+  static bool HasMemory(const BackendServer& server,
+                        const PlacementRequest& request,
+                        Urgency urgency,
+                        MonoTime now);
+  /// @return The choice among the servers that pass the filter.
+  PlacementChoice ChooseAmong(const BackendServers& servers,
+                              const PlacementRequest& request,
+                              const ServiceModel& model,
+                              const Lane& lane,
+                              const Filter& filter,
+                              MonoTime now);
   /// @return Rank of an engine for the prefix, see `PlacementChoice`.
   int PrefixRank(const BackendServer& server,
                  size_t index,
--- a/camphorsail/placement/urgency_counts.h
+++ b/camphorsail/placement/urgency_counts.h
@@ -30,6 +30,14 @@
     }
     return sum;
   }
+  /// @return Sum of the amounts of all more urgent levels.
+  uint32_t MoreUrgentThan(Urgency urgency) const {
+    uint32_t sum = 0;
+    for (int level = 0; level < urgency.value(); ++level) {
+      sum += amounts_[level];
+    }
+    return sum;
+  }
 
   UrgencyCounts& operator+=(const UrgencyCounts& other) {
     for (int level = 0; level < kUrgencyLevels; ++level) {
