--- a/camphorsail/placement/placement.cc
+++ b/camphorsail/placement/placement.cc
@@ -31,6 +31,11 @@
 /// Fraction of the engines of the interactive lane, from the fastest on, that
 /// can be homes of a prefix however short a pause its streams allow.
 constexpr double kMinHomeShare = 0.34;
+/// Cost of an engine that is not among the two that a request without a shared
+/// prefix picks at random: the engine has to be faster by this fraction of the
+/// latency objective. Otherwise all gateways would choose the fastest engine.
+constexpr double kOtherThanPickedCost = 0.25;
+constexpr int kPickedEngines = 2;
 /// Objective that is assumed for a route without one, in milliseconds.
 constexpr double kDefaultObjectiveMs = 1000;
 
@@ -200,7 +205,7 @@
 Placement::Lane Placement::LaneOf(const BackendServers& servers,
                                   const PlacementRequest& request,
                                   const ServiceModel& model,
-                                  MonoTime now) const {
+                                  MonoTime now) {
   Lane lane;
   lane.by_speed = model.speeds().is_divided();
   lane.is_interactive = request.is_interactive;
@@ -215,7 +220,11 @@
   }
   lane.begin = request.is_interactive && bulk < servers.size() ? bulk : 0;
   lane.end = request.is_interactive || bulk == 0 ? servers.size() : bulk;
-  const uint64_t prefix = LongestPrefix(request);
+  uint64_t prefix = LongestPrefix(request);
+  lane.has_picked_homes = lane.by_speed && prefix == 0;
+  if (lane.has_picked_homes) {
+    prefix = random_.Next();
+  }
   lane.hot_homes = HotHomes(prefix, request, model, now);
   lane.homes = FindHomes(
       servers,
@@ -386,7 +395,9 @@
   if (prompt_tokens > 0) {
     estimate.cost += settings_.reread_cost * reread_tokens / prompt_tokens;
   }
-  if (in_lane) {
+  if (lane.has_picked_homes) {
+    estimate.cost += prefix_rank >= kPickedEngines ? kOtherThanPickedCost : 0;
+  } else if (in_lane) {
     estimate.cost += settings_.prefix_rank_cost * prefix_rank;
   }
 
--- a/camphorsail/placement/placement.h
+++ b/camphorsail/placement/placement.h
@@ -175,6 +175,9 @@
     bool is_interactive = false;
     size_t begin = 0;
     size_t end = 0;
+    /// True for a request without a shared prefix in lanes that are divided by
+    /// speed: its homes are random.
+    bool has_picked_homes = false;
     /// Lasting factor up to which an engine of the lane can be a home.
     double max_home_factor = 0;
     /// Load of the engines of the request's lane and of the other engines.
@@ -202,7 +205,7 @@
   Lane LaneOf(const BackendServers& servers,
               const PlacementRequest& request,
               const ServiceModel& model,
-              MonoTime now) const;
+              MonoTime now);
   /// @return Number of engines that the requests of the prefix keep busy.
   int HotHomes(uint64_t prefix,
                const PlacementRequest& request,
