--- a/camphorsail/placement/backend_server.cc
+++ b/camphorsail/placement/backend_server.cc
@@ -112,7 +112,7 @@
                                         MonoTime now) {
   other_gateways_ = load;
   other_gateways_at_ = now;
-  speed.OnOthers(load.speed);
+  speed.OnOthers(load.speed, now);
   if (load.answers > 0) {
     answered_others_at_ = now;
   }
--- a/camphorsail/placement/server_speed.cc
+++ b/camphorsail/placement/server_speed.cc
@@ -1,6 +1,7 @@
 #include "camphorsail/placement/server_speed.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace camphorsail {
@@ -31,16 +32,19 @@
   return own;
 }
 
-void ServerSpeed::OnOthers(const SpeedSamples& others) {
+void ServerSpeed::OnOthers(const SpeedSamples& others, MonoTime now) {
   SpeedSamples all = std::exchange(taken_, SpeedSamples());
   all += others;
   is_shared_ = is_shared_ || !others.IsEmpty();
   if (all.IsEmpty()) {
     return;
   }
-  weight_ = std::min(weight_ + all.weight, kMaxWeight);
-  log_factor_ +=
-      (all.MeanLog() - log_factor_) * std::min(1.0, all.weight / weight_);
+  weight_ *=
+      std::exp(-absl::ToDoubleSeconds(now - weighed_at_) / kMemorySeconds);
+  weighed_at_ = now;
+  weight_ += all.weight;
+  log_factor_ += (all.MeanLog() - log_factor_) * all.weight / weight_;
+  is_known_ = is_known_ || weight_ >= kMinWeight;
 }
 
 }  // namespace camphorsail
--- a/camphorsail/placement/server_speed.h
+++ b/camphorsail/placement/server_speed.h
@@ -33,10 +33,10 @@
   SpeedSamples TakeOwn();
   /// Takes what the other gateways have measured, and adds to it what this
   /// gateway has taken by `TakeOwn` since the last call.
-  void OnOthers(const SpeedSamples& others);
+  void OnOthers(const SpeedSamples& others, MonoTime now);
 
   /// @return True once there are enough values of all gateways.
-  bool IsKnown() const { return weight_ >= kMinWeight; }
+  bool IsKnown() const { return is_known_; }
   /// @return Binary logarithm of the lasting factor; zero while unknown.
   double LogFactor() const { return IsKnown() ? log_factor_ : 0; }
 
@@ -74,9 +74,9 @@
   static constexpr uint32_t kMaxOwnWeight = 32;
   /// Weight from which on the factor is known.
   static constexpr double kMinWeight = 24;
-  /// Weight of the past in the average of all gateways. Bounds the memory, so
-  /// that the factor follows a lasting change.
-  static constexpr double kMaxWeight = 512;
+  /// Time constant of the average of all gateways. Much longer than a spell, so
+  /// that an engine does not change its lane for one.
+  static constexpr double kMemorySeconds = 30;
 
   /// The latest values of this gateway, and their number so far.
   std::array<float, kCapacity> own_{};
@@ -86,7 +86,10 @@
   /// What was taken since the last call of `OnOthers`.
   SpeedSamples taken_;
   double log_factor_ = 0;
+  /// Decaying weight of the values in it.
   double weight_ = 0;
+  MonoTime weighed_at_;
+  bool is_known_ = false;
   double moment_ = 1;
   MonoTime moment_at_;
   double lasting_ = 1;
