Learned speeds in the gauges and in the log of an attempt

Gauges for services whose servers are uneven or report spells: slowness of each server, servers in the interactive lane, share, slowdown and length of spells. attempt_started has the slowness of the chosen server where it is not 1. The list of events and fields is generated again.

--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -210,7 +210,8 @@
       state.services.push_back(
           {service.name, &fleet_.ServersOf(service.name),
            RetryBudgetOf(service.name).RetriesLeft(gateway_count_, now),
-           &models_[service.name].admission()});
+           &models_[service.name].admission(),
+           &models_[service.name].speeds()});
     }
   }
   state.lease_left = lease_valid_until_ - now;
--- a/camphorsail/gateway/gateway_gauges.cc
+++ b/camphorsail/gateway/gateway_gauges.cc
@@ -83,6 +83,48 @@
                            "Share of the requests of an urgency that is "
                            "refused because more urgent ones are late.",
                            {"service", "urgency"});
+  server_slowness_ = declare("camphorsail_gateway_server_slowness",
+                             "How long work lastingly takes on a server, as a "
+                             "multiple of what is usual in its service. Only "
+                             "for services whose servers are uneven.",
+                             {"service", "server"});
+  interactive_servers_ = declare("camphorsail_gateway_servers_interactive",
+                                 "Servers in the lane of the interactive "
+                                 "streams. Only for services whose servers are "
+                                 "uneven.",
+                                 {"service"});
+  spell_share_ = declare("camphorsail_gateway_spell_share",
+                         "Fraction of the time in which servers are slowed by "
+                         "what shares their hosts. Only for services whose "
+                         "servers report it.",
+                         {"service"});
+  spell_slowdown_ = declare("camphorsail_gateway_spell_slowdown",
+                            "How long work takes in such a time, as a multiple "
+                            "of the usual time.",
+                            {"service"});
+  spell_length_ = declare("camphorsail_gateway_spell_seconds",
+                          "Typical length of such a time.", {"service"});
+}
+
+void GatewayGauges::UpdateSpeeds(const ServiceGauges& service) {
+  const std::string& name = service.service.value();
+  const ServiceSpeeds& speeds = *service.speeds;
+  if (speeds.is_uneven()) {
+    for (const Ref<BackendServer>& server : *service.servers) {
+      metrics_->Set(server_slowness_, {name, server->id.value()},
+                    server->speed.lasting());
+    }
+    metrics_->Set(interactive_servers_, {name},
+                  speeds.is_divided()
+                      ? static_cast<double>(speeds.interactive_engines())
+                      : 0);
+  }
+  if (speeds.has_reports()) {
+    metrics_->Set(spell_share_, {name}, speeds.spell_share());
+    metrics_->Set(spell_slowdown_, {name}, speeds.spell_slowdown());
+    metrics_->Set(spell_length_, {name},
+                  absl::ToDoubleSeconds(speeds.spell_length()));
+  }
 }
 
 void GatewayGauges::Update(const GatewayState& state, MonoTime now) {
@@ -126,6 +168,7 @@
     metrics_->Set(known_requests_, {name}, known);
     metrics_->Set(slots_, {name}, slots);
     metrics_->Set(retries_, {name}, service.retries_left);
+    UpdateSpeeds(service);
     for (int level = 0; level < kUrgencyLevels; ++level) {
       metrics_->Set(refused_share_, {name, absl::StrCat(level)},
                     service.admission->RefusedShare(Urgency(level)));
--- a/camphorsail/gateway/gateway_gauges.h
+++ b/camphorsail/gateway/gateway_gauges.h
@@ -8,6 +8,7 @@
 #include "camphorsail/base/ids.h"
 #include "camphorsail/gateway/backend_fleet.h"
 #include "camphorsail/placement/admission_gate.h"
+#include "camphorsail/placement/service_speeds.h"
 #include "camphorsail/process/metrics.h"
 #include "camphorsail/process/process_metrics.h"
 
@@ -21,6 +22,7 @@
   /// Retries that the gateway may send now.
   double retries_left = 0;
   const AdmissionGate* admission = nullptr;
+  const ServiceSpeeds* speeds = nullptr;
 };
 
 /// State of a gateway at one moment.
@@ -62,6 +64,9 @@
   void Update(const GatewayState& state, MonoTime now);
 
  private:
+  /// Updates how the servers of a service differ in speed, if they do.
+  void UpdateSpeeds(const ServiceGauges& service);
+
   Metrics* const metrics_;
   ProcessMetrics process_;
   MetricId table_version_;
@@ -84,6 +89,11 @@
   MetricId slots_;
   MetricId retries_;
   MetricId refused_share_;
+  MetricId server_slowness_;
+  MetricId interactive_servers_;
+  MetricId spell_share_;
+  MetricId spell_slowdown_;
+  MetricId spell_length_;
 };
 
 }  // namespace camphorsail
--- a/camphorsail/gateway/gateway_telemetry.cc
+++ b/camphorsail/gateway/gateway_telemetry.cc
@@ -117,8 +117,8 @@
   // Kept short, because every request writes this line. The last line of the
   // request contains the other fields.
   const ExchangeAttempt& attempt = *exchange.attempt;
-  LogEvent("attempt_started")
-      .Add("request", exchange.request.request_id)
+  LogEvent event("attempt_started");
+  event.Add("request", exchange.request.request_id)
       .Add("route", exchange.route->name)
       .Add("urgency", exchange.placement.urgency.value())
       .Add("tries", exchange.started_attempts)
@@ -130,6 +130,10 @@
       .Add("candidates", choice.candidates)
       .Add("cost", choice.cost)
       .Add("next_cost", choice.candidates > 1 ? choice.next_cost : -1.0);
+  if (const double lasting = attempt.server->speed.lasting();
+      lasting != 1 || choice.slowness != 1) {
+    event.Add("slowness", choice.slowness).Add("lasting_slowness", lasting);
+  }
 }
 
 void GatewayTelemetry::OnAnswered(const Exchange& exchange,
--- a/camphorsail/placement/service_speeds.h
+++ b/camphorsail/placement/service_speeds.h
@@ -56,6 +56,8 @@
   /// @return Lasting factor up to which at least `share` of the engines of the
   /// interactive lane are.
   double InteractiveFactor(double share) const;
+  /// @return True once a server has told how long work takes on its host.
+  bool has_reports() const { return has_reports_; }
   /// @return Fraction of the time in which a server is slowed by a spell.
   double spell_share() const { return spell_share_; }
   /// @return How long work takes in a spell, as a multiple of the usual time.
--- a/camphorsail/process/log_schema.h
+++ b/camphorsail/process/log_schema.h
@@ -283,6 +283,9 @@
     {"incarnation", "Number of the server's or process's start."},
     {"key", "Idempotency key in the ledger."},
     {"known", "Whether the server was registered."},
+    {"lasting_slowness",
+     "How long work lastingly takes on the server, as a multiple of what is "
+     "usual in the service."},
     {"leader", "VM of the leader; empty while there is none."},
     {"learners", "Members without a vote."},
     {"least_urgent_start",
@@ -354,6 +357,9 @@
     {"service", "Service of the server."},
     {"signal", "Number of the signal."},
     {"slots", "Requests that the server runs at the same time."},
+    {"slowness",
+     "How long work is expected to take on the server now, as a multiple of "
+     "what is usual in the service."},
     {"source", "What a callback of the event loop was called for."},
     {"status", "HTTP status."},
     {"table_version", "Version of the routing table that decided."},
