Prompts are harmful by the pause limits of the streams that an engine runs

The harm of a prompt was estimated with the shortest pause of the engine's lane, so that long prompts joined short-pause streams on an engine that had changed its lane, and short prompts avoided streams that allow longer pauses. Where servers are uneven, the streams are counted by urgency, with the shortest pause that requests of this urgency allow.

--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -353,6 +353,7 @@
     return;
   }
   placement.is_interactive = model.IsInteractive(route);
+  model.OnPauseLimit(placement.urgency, placement.max_event_gap);
   placement_.OnRequest(placement, loop_->now());
   const double work_ms = Placement::EngineWorkMs(
       placement, model.engine(), model.ProfileOf(route).output_tokens(),
--- a/camphorsail/placement/backend_server.cc
+++ b/camphorsail/placement/backend_server.cc
@@ -139,6 +139,14 @@
   return Load(now) - less_urgent;
 }
 
+UrgencyCounts BackendServer::RequestsByUrgency(MonoTime now) const {
+  UrgencyCounts requests = own_requests_;
+  if (KnowsOtherGateways(now)) {
+    requests += other_gateways_.requests_by_urgency;
+  }
+  return requests;
+}
+
 double BackendServer::TokensUpTo(Urgency urgency, MonoTime now) const {
   UrgencyCounts tokens = own_tokens_;
   if (KnowsOtherGateways(now)) {
--- a/camphorsail/placement/backend_server.h
+++ b/camphorsail/placement/backend_server.h
@@ -99,6 +99,8 @@
   /// @return Estimated requests of all gateways on the server that are at least
   /// as urgent.
   double LoadUpTo(Urgency urgency, MonoTime now) const;
+  /// @return The requests of all gateways on the server whose urgency is known.
+  UrgencyCounts RequestsByUrgency(MonoTime now) const;
   /// @return Estimated tokens in the server's memory of the running requests of
   /// all gateways that are at least as urgent. Requests that wait for a slot
   /// hold none.
--- a/camphorsail/placement/placement.cc
+++ b/camphorsail/placement/placement.cc
@@ -420,8 +420,23 @@
                          limit, spell_risk, speeds);
   };
   const double added_ms = usual_prefill_ms * lasting;
-  estimate.cost += streams * (risk(backlog_ms + added_ms, max_event_gap) -
-                              risk(backlog_ms, max_event_gap));
+  const auto harm = [&](absl::Duration limit) {
+    return risk(backlog_ms + added_ms, limit) - risk(backlog_ms, limit);
+  };
+  double streams_of_lane = streams;
+  if (speeds.is_uneven()) {
+    // Streams that allow shorter pauses than the engine's lane may have begun
+    // there before it changed its lane, or when their own had no room.
+    const UrgencyCounts requests = server.RequestsByUrgency(now);
+    for (int level = 0; level < kUrgencyLevels; ++level) {
+      const uint32_t count = requests.at(Urgency(level));
+      if (count > 0) {
+        estimate.cost += count * harm(model.PauseLimitOf(Urgency(level)));
+        streams_of_lane -= count;
+      }
+    }
+  }
+  estimate.cost += std::max(0.0, streams_of_lane) * harm(max_event_gap);
   if (!in_lane && request.is_interactive) {
     const double bulk_prefill_ms =
         lasting * engine.PrefillMs(model.LaneOf(false).unshared_tokens);
--- a/camphorsail/placement/service_model.cc
+++ b/camphorsail/placement/service_model.cc
@@ -41,6 +41,14 @@
   }
 }
 
+void ServiceModel::OnPauseLimit(Urgency urgency, absl::Duration max_event_gap) {
+  absl::Duration& limit = pause_limits_[urgency.value()];
+  if (max_event_gap > absl::ZeroDuration() &&
+      (limit == absl::ZeroDuration() || max_event_gap < limit)) {
+    limit = max_event_gap;
+  }
+}
+
 void ServiceModel::OnGap(double tokens,
                          absl::Duration gap,
                          absl::Duration backlog,
--- a/camphorsail/placement/service_model.h
+++ b/camphorsail/placement/service_model.h
@@ -1,10 +1,12 @@
 #ifndef CAMPHORSAIL_PLACEMENT_SERVICE_MODEL_H_
 #define CAMPHORSAIL_PLACEMENT_SERVICE_MODEL_H_
 
+#include <array>
 #include <string>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "camphorsail/base/urgency.h"
 #include "camphorsail/placement/admission_gate.h"
 #include "camphorsail/placement/engine_model.h"
 #include "camphorsail/placement/route_profile.h"
@@ -58,6 +60,14 @@
              ServerSpeed* speed,
              MonoTime now);
 
+  /// Records the longest pause that a request of this urgency allows; zero for
+  /// no limit.
+  void OnPauseLimit(Urgency urgency, absl::Duration max_event_gap);
+  /// @return The shortest of these pauses; zero for no limit.
+  absl::Duration PauseLimitOf(Urgency urgency) const {
+    return pause_limits_[urgency.value()];
+  }
+
   /// @return False when the requests of the route belong to the bulk lane.
   bool IsInteractive(const Route& route) const;
   const Lane& LaneOf(bool is_interactive) const {
@@ -92,6 +102,7 @@
   Lane interactive_;
   Lane bulk_;
   int requests_until_split_ = 0;
+  std::array<absl::Duration, kUrgencyLevels> pause_limits_{};
 };
 
 }  // namespace camphorsail
--- a/tests/fakes/gateway/test_dialect.h
+++ b/tests/fakes/gateway/test_dialect.h
@@ -56,6 +56,9 @@
     if (const std::string* ms = head.headers.Find("X-Rest")) {
       reply.rest = absl::Milliseconds(std::atoi(ms->c_str()));
     }
+    if (const std::string* load = head.headers.Find("X-Odd-Load")) {
+      reply.odd_load = *load;
+    }
     reply.is_signed = head.headers.Find("X-Signature") != nullptr;
     return reply;
   };
--- a/tests/unit/gateway/gateway_test.cc
+++ b/tests/unit/gateway/gateway_test.cc
@@ -236,6 +236,21 @@
   EXPECT_FALSE(unsigned_answer.Has("evil"));
 }
 
+// Guards against an answer being lost, or a server being taken for ill, because
+// of a load report that cannot be read.
+TEST_F(GatewayTest, OddLoadReportIsCountedAndTheAnswerForwarded) {
+  RawSocket caller = Call("/safe/x");
+  RawSocket* server = NextAttempt();
+  ASSERT_NE(server, nullptr);
+  server->Write(
+      Answer("200 OK", std::string(kSigned) + "X-Odd-Load: 1,x\r\n", "done"));
+  EXPECT_TRUE(WaitFor(&caller, "done"));
+  EXPECT_NE(
+      metrics_.Render().find(
+          "camphorsail_gateway_odd_load_reports_total{service=\"svc\"} 1"),
+      std::string::npos);
+}
+
 TEST_F(GatewayTest, BrokenStreamResumesAfterItsLastCompleteEvent) {
   RawSocket caller = Call("/stream/x");
   RawSocket* first = NextAttempt();
--- a/tests/unit/placement/uneven_servers_test.cc
+++ b/tests/unit/placement/uneven_servers_test.cc
@@ -93,6 +93,11 @@
     }
   }
 
+  /// A short-pause stream runs on the server.
+  void RunQuick(BackendServer* server, Urgency urgency) {
+    model_.OnPauseLimit(urgency, absl::Milliseconds(quick_.max_event_gap_ms));
+    server->OnDispatch(absl::ZeroDuration(), urgency, At(0));
+  }
   PlacementChoice Quick(const std::string& prefix, MonoTime now) {
     return Choose(quick_, prefix, 200, 630, now);
   }
@@ -181,6 +186,22 @@
   EXPECT_FALSE(gateway.Quick("p", At(0)).server->speed.is_interactive());
 }
 
+// Load pattern: short pauses beside long prompts on slow engines. Guards
+// against long prompts on an engine whose short-pause streams began before it
+// changed its lane.
+TEST(UnevenServersTest, LongPromptsSpareShortPausesOfTheirOwnLane) {
+  UnevenGateway gateway(1, UnevenFactors(20));
+  gateway.Report([](size_t s) { return s % 7 == 0 ? 2.5 : 1; }, At(-9));
+  const Ref<BackendServer> home = gateway.Bulk("", At(0)).server;
+  ASSERT_FALSE(home->speed.is_interactive());
+  for (int i = 0; i < 6; ++i) {
+    gateway.RunQuick(home.get(), Urgency(0));
+  }
+  for (int i = 0; i < 40; ++i) {
+    EXPECT_NE(gateway.Bulk("", At(0)).server, home);
+  }
+}
+
 // Load pattern: a spell under a stale report. Guards against requests that are
 // sent away from the home of their prefix, or all to the same server, because
 // of a spell that is over when they arrive.
