--- a/tests/unit/placement/uneven_servers_test.cc
+++ b/tests/unit/placement/uneven_servers_test.cc
@@ -144,6 +144,7 @@
 /// hashes of the servers.
 std::vector<double> UnevenFactors(int count) {
   std::vector<double> factors;
+  factors.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     factors.push_back(0.7 + (i * 7 % count) * 1.0 / (count - 1));
   }
