--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -210,7 +210,8 @@
       state.services.push_back(
           {service.name, &fleet_.ServersOf(service.name),
            RetryBudgetOf(service.name).RetriesLeft(gateway_count_, now),
-           &models_[service.name].admission()});
+           &models_[service.name].admission(),
+           &models_[service.name].speeds()});
     }
   }
   state.lease_left = lease_valid_until_ - now;
@@ -352,6 +353,7 @@
     return;
   }
   placement.is_interactive = model.IsInteractive(route);
+  model.OnPauseLimit(placement.urgency, placement.max_event_gap);
   placement_.OnRequest(placement, loop_->now());
   const double work_ms = Placement::EngineWorkMs(
       placement, model.engine(), model.ProfileOf(route).output_tokens(),
