The interactive lane gets its share of the engines, not of their capacity

Cause: the share of the work was cut from the capacity, beginning with the fastest engines, so that the lane with short pauses became the densest, and a stream had to stay there while any engine had one free slot.

--- a/camphorsail/placement/placement.cc
+++ b/camphorsail/placement/placement.cc
@@ -36,6 +36,12 @@
 /// latency objective. Otherwise all gateways would choose the fastest engine.
 constexpr double kOtherThanPickedCost = 0.25;
 constexpr int kPickedEngines = 2;
+/// An engine of the lane has room when it would begin with the prompt within
+/// this fraction of the latency objective, and when no more than this fraction
+/// of its slots is taken. Beyond that the streams of the lane slow each other
+/// down, and an engine of the other lane may be the better one.
+constexpr double kRoomObjectiveFraction = 0.25;
+constexpr double kRoomSlotFraction = 0.5;
 /// Objective that is assumed for a route without one, in milliseconds.
 constexpr double kDefaultObjectiveMs = 1000;
 
@@ -132,13 +138,10 @@
                        ServiceSpeeds* speeds,
                        MonoTime now) const {
   speeds->Update(servers);
-  double capacity = 0;
-  for (const Ref<BackendServer>& server : servers) {
-    capacity += 1 / server->speed.lasting();
-  }
-  std::optional<double> share = InteractiveEngines(capacity);
+  const auto engines = static_cast<double>(servers.size());
+  std::optional<double> share = InteractiveEngines(engines);
   if (share.has_value()) {
-    *share /= capacity;
+    *share /= engines;
   }
   speeds->Divide(servers, servers.empty() ? std::nullopt : share, now);
 }
@@ -302,8 +305,9 @@
   for (size_t i = 0; i < servers.size(); ++i) {
     const BackendServer& server = *servers[i];
     if (lane.Contains(server, i) && IsUsable(server, request, filter, now) &&
-        server.Load(now) + 1 <= server.slots &&
-        QueueMs(server, request, now) < ObjectiveMs(request)) {
+        server.Load(now) + 1 <= server.slots * kRoomSlotFraction &&
+        QueueMs(server, request, now) <
+            ObjectiveMs(request) * kRoomObjectiveFraction) {
       return true;
     }
   }
--- a/camphorsail/placement/service_speeds.cc
+++ b/camphorsail/placement/service_speeds.cc
@@ -191,25 +191,21 @@
   }
   // `servers` is ordered by hash at all gateways.
   std::vector<BackendServer*> ordered;
-  double capacity = 0;
   for (const Ref<BackendServer>& server : servers) {
     ordered.push_back(server.get());
-    capacity += 1 / server->speed.lasting();
   }
   std::stable_sort(ordered.begin(), ordered.end(),
                    [](const BackendServer* a, const BackendServer* b) {
                      return a->speed.rank_step() < b->speed.rank_step();
                    });
   interactive_factors_.clear();
-  double taken = 0;
+  const double wanted = share_in_use_ * static_cast<double>(ordered.size());
   for (size_t i = 0; i < ordered.size(); ++i) {
     ServerSpeed& speed = ordered[i]->speed;
-    const double own = 1 / speed.lasting();
     const bool is_interactive =
         i == 0 ||
-        (i + 1 < ordered.size() && taken + own / 2 <= share_in_use_ * capacity);
+        (i + 1 < ordered.size() && static_cast<double>(i) + 0.5 <= wanted);
     speed.SetInteractive(is_interactive);
-    taken += own;
     if (is_interactive) {
       interactive_factors_.push_back(speed.lasting());
     }
--- a/camphorsail/placement/service_speeds.h
+++ b/camphorsail/placement/service_speeds.h
@@ -41,8 +41,10 @@
   /// Judges whether the servers are uneven, and sets their lasting factors.
   void Update(const BackendServers& servers);
   /// Divides the servers into the two lanes by their speed.
-  /// @param interactive_share Fraction of the capacity that the interactive
-  /// streams need; nothing when there is only one kind of stream.
+  /// @param interactive_share Fraction of the engines for the interactive
+  /// streams; nothing when there is only one kind of stream. These get the
+  /// fastest engines, so that their lane has more capacity than its share and
+  /// its streams slow each other down less.
   void Divide(const BackendServers& servers,
               std::optional<double> interactive_share,
               MonoTime now);
