--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -210,7 +210,8 @@
       state.services.push_back(
           {service.name, &fleet_.ServersOf(service.name),
            RetryBudgetOf(service.name).RetriesLeft(gateway_count_, now),
-           &models_[service.name].admission()});
+           &models_[service.name].admission(),
+           &models_[service.name].speeds()});
     }
   }
   state.lease_left = lease_valid_until_ - now;
@@ -332,6 +333,7 @@
   exchange->causes =
       SharedPartHashes(exchange->request.model, exchange->request.prompt_parts);
   placement.objective = absl::Milliseconds(route.objective_ms);
+  placement.max_event_gap = absl::Milliseconds(route.max_event_gap_ms);
   placement.tokens_per_event = std::max(1, exchange->service->tokens_per_event);
   exchange->last_event = exchange->request.last_event;
   return {};
@@ -351,6 +353,7 @@
     return;
   }
   placement.is_interactive = model.IsInteractive(route);
+  model.OnPauseLimit(placement.urgency, placement.max_event_gap);
   placement_.OnRequest(placement, loop_->now());
   const double work_ms = Placement::EngineWorkMs(
       placement, model.engine(), model.ProfileOf(route).output_tokens(),
@@ -381,11 +384,12 @@
   ServiceModel& model = ModelOf(*exchange);
   exchange->placement.slot_seconds =
       model.ProfileOf(*exchange->route).stream_seconds();
+  SetMemoryNeed(exchange);
   const PlacementChoice choice =
       placement_.Choose(fleet_.ServersOf(exchange->service->name),
                         exchange->placement, model, now);
   if (!choice.server) {
-    RefuseWithoutServer(exchange);
+    RefuseWithoutServer(exchange, choice);
     return;
   }
   BackendServer& server = *choice.server;
@@ -416,6 +420,8 @@
   attempt.is_server_full = attempt.load >= server.slots;
   attempt.number =
       server.OnDispatch(choice.prefill, exchange->placement.urgency, now);
+  server.HoldTokens(exchange->placement.memory_tokens,
+                    exchange->placement.urgency);
   server.isolated_requests += exchange->placement.isolated ? 1 : 0;
   server.prefixes.Record(exchange->placement.prefixes, now);
   attempt.connection = pool_.Take(server.address);
@@ -433,23 +439,6 @@
                             MakeHandlers(exchange));
 }
 
-void Gateway::RefuseWithoutServer(Exchange* exchange) {
-  const MonoTime now = loop_->now();
-  MonoTime accepts_from = MonoTime::Infinite();
-  for (const Ref<BackendServer>& server :
-       fleet_.ServersOf(exchange->service->name)) {
-    accepts_from = std::min(accepts_from, server->wishes.AcceptsFrom(now));
-  }
-  if (accepts_from > now && accepts_from != MonoTime::Infinite()) {
-    exchange->servers_rest_for = accepts_from - now;
-    Refuse(exchange, ErrorKind::kNoBackendServer,
-           "the servers of the service have asked for a pause");
-    return;
-  }
-  Refuse(exchange, ErrorKind::kNoBackendServer,
-         "no backend server of the service is available");
-}
-
 absl::Duration Gateway::AdmissionLimit(const Exchange& exchange,
                                        const PlacementChoice& choice) const {
   const Route& route = *exchange.route;
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -99,6 +99,10 @@
   void SetTotalDemand(const EngineDemand& demand) {
     placement_.SetDemand(demand);
     demand_.SetTotalRequests(demand.requests, loop_->now());
+    for (auto& [service, model] : models_) {
+      placement_.Divide(fleet_.ServersOf(service), &model.speeds(),
+                        loop_->now());
+    }
   }
 
   /// Starts a graceful shutdown: reports the gateway as not ready and closes
@@ -273,7 +277,9 @@
   void Finish(Exchange* exchange);
 
   /// Refuses a request that no server takes.
-  void RefuseWithoutServer(Exchange* exchange);
+  void RefuseWithoutServer(Exchange* exchange, const PlacementChoice& choice);
+  /// Sets what the request needs of a server's memory, if that is stated.
+  void SetMemoryNeed(Exchange* exchange);
   /// @return Time after which the caller should retry a refused request.
   absl::Duration RetryAfter(const Exchange& exchange, ErrorKind kind);
   /// @return The retry budget of a service.
--- a/camphorsail/gateway/gateway_answer.cc
+++ b/camphorsail/gateway/gateway_answer.cc
@@ -66,6 +66,12 @@
   }
   if (reply.load.has_value()) {
     attempt.server->OnReport(*reply.load, loop_->now());
+    if (reply.load->slowdown.has_value()) {
+      ModelOf(*exchange).speeds().OnReport(
+          *reply.load->slowdown, &attempt.server->speed, loop_->now());
+    }
+  } else if (!reply.odd_load.empty()) {
+    telemetry_.OnOddLoadReport(*exchange);
   }
   ObserveWishes(*exchange);
   attempt.head = std::move(head);
@@ -160,7 +166,8 @@
   attempt.server->wishes.OnAnswer(attempt.started_at);
   ServiceModel& model = ModelOf(*exchange);
   if (attempt.is_server_idle && exchange->service->is_engine) {
-    model.engine().OnFirstEvent(attempt.uncached_tokens, attempt.first);
+    model.OnFirstEvent(attempt.uncached_tokens, attempt.first,
+                       &attempt.server->speed);
   } else if (attempt.is_server_idle) {
     model.engine().OnCall(attempt.first);
   }
@@ -211,10 +218,10 @@
   if (exchange->events_sent > 0) {
     const absl::Duration pause = now - exchange->events_at;
     exchange->longest_pause = std::max(exchange->longest_pause, pause);
-    ModelOf(*exchange).engine().OnGap(
+    ModelOf(*exchange).OnGap(
         static_cast<double>(attempt.events.count() - before) *
             exchange->placement.tokens_per_event,
-        pause, attempt.server->PromptBacklog(now));
+        pause, attempt.server->PromptBacklog(now), &attempt.server->speed, now);
   }
   if (!attempt.has_settled &&
       now - attempt.started_at - attempt.first >= kAnswerSettleTime) {
@@ -453,6 +460,8 @@
   }
   attempt.server->isolated_requests -= exchange->placement.isolated ? 1 : 0;
   attempt.server->OnFinished(exchange->placement.urgency);
+  attempt.server->ReleaseTokens(exchange->placement.memory_tokens,
+                                exchange->placement.urgency);
   BackendConnection* connection = std::exchange(attempt.connection, nullptr);
   if (cancel && connection != nullptr) {
     connection->Cancel();
@@ -464,6 +473,29 @@
   exchange->attempt.reset();
 }
 
+void Gateway::RefuseWithoutServer(Exchange* exchange,
+                                  const PlacementChoice& choice) {
+  if (choice.is_memory_full) {
+    Refuse(exchange, ErrorKind::kOverloaded,
+           "no backend server has memory for the request");
+    return;
+  }
+  const MonoTime now = loop_->now();
+  MonoTime accepts_from = MonoTime::Infinite();
+  for (const Ref<BackendServer>& server :
+       fleet_.ServersOf(exchange->service->name)) {
+    accepts_from = std::min(accepts_from, server->wishes.AcceptsFrom(now));
+  }
+  if (accepts_from > now && accepts_from != MonoTime::Infinite()) {
+    exchange->servers_rest_for = accepts_from - now;
+    Refuse(exchange, ErrorKind::kNoBackendServer,
+           "the servers of the service have asked for a pause");
+    return;
+  }
+  Refuse(exchange, ErrorKind::kNoBackendServer,
+         "no backend server of the service is available");
+}
+
 void Gateway::Refuse(Exchange* exchange,
                      ErrorKind kind,
                      std::string_view reason) {
--- a/camphorsail/placement/backend_server.cc
+++ b/camphorsail/placement/backend_server.cc
@@ -80,6 +80,11 @@
   load.in_flight = static_cast<uint32_t>(in_flight_);
   load.answers = std::exchange(new_answers_, 0);
   load.requests_by_urgency = own_requests_;
+  load.tokens_by_urgency = own_tokens_;
+  const SpeedSamples speed_samples = speed.TakeOwn();
+  if (speed.is_shared()) {
+    load.speed = speed_samples;
+  }
   // The engine reads the most urgent prompts first, so that what it has read
   // since it finished the latest prompt is taken from these.
   for (int level = 0; level < kUrgencyLevels; ++level) {
@@ -107,6 +112,7 @@
                                         MonoTime now) {
   other_gateways_ = load;
   other_gateways_at_ = now;
+  speed.OnOthers(load.speed, now);
   if (load.answers > 0) {
     answered_others_at_ = now;
   }
@@ -133,6 +139,24 @@
   return Load(now) - less_urgent;
 }
 
+UrgencyCounts BackendServer::RequestsByUrgency(MonoTime now) const {
+  UrgencyCounts requests = own_requests_;
+  if (KnowsOtherGateways(now)) {
+    requests += other_gateways_.requests_by_urgency;
+  }
+  return requests;
+}
+
+double BackendServer::TokensUpTo(Urgency urgency, MonoTime now) const {
+  UrgencyCounts tokens = own_tokens_;
+  if (KnowsOtherGateways(now)) {
+    tokens += other_gateways_.tokens_by_urgency;
+  }
+  const double load = LoadUpTo(urgency, now);
+  const double running = load > slots ? slots / load : 1;
+  return running * (tokens.at(urgency) + tokens.MoreUrgentThan(urgency));
+}
+
 absl::Duration BackendServer::BacklogUpTo(Urgency urgency, MonoTime now) const {
   const absl::Duration own = OwnBacklogUpTo(urgency, now);
   if (!KnowsOtherGateways(now)) {
--- a/camphorsail/placement/backend_server.h
+++ b/camphorsail/placement/backend_server.h
@@ -11,11 +11,13 @@
 #include "camphorsail/base/mono_time.h"
 #include "camphorsail/base/network_address.h"
 #include "camphorsail/base/ref.h"
+#include "camphorsail/base/units.h"
 #include "camphorsail/base/urgency.h"
 #include "camphorsail/placement/attempt_health.h"
 #include "camphorsail/placement/gateway_server_load.h"
 #include "camphorsail/placement/recent_prefixes.h"
 #include "camphorsail/placement/reported_load.h"
+#include "camphorsail/placement/server_speed.h"
 #include "camphorsail/placement/server_wishes.h"
 #include "camphorsail/placement/urgency_counts.h"
 
@@ -48,6 +50,7 @@
   /// was replaced at its address.
   bool available = true;
   AttemptHealth health;
+  ServerSpeed speed;
   ServerWishes wishes;
   /// Prompt prefixes that the server has probably cached.
   RecentPrefixes prefixes;
@@ -70,6 +73,14 @@
   void OnPromptDone(absl::Duration prefill, Urgency urgency, MonoTime now);
   /// Records that a request on the server has ended.
   void OnFinished(Urgency urgency);
+  /// Counts the tokens that a request which is sent to the server needs in its
+  /// memory, and those of one that has ended.
+  void HoldTokens(Tokens tokens, Urgency urgency) {
+    own_tokens_.Add(urgency, static_cast<uint32_t>(tokens.value()));
+  }
+  void ReleaseTokens(Tokens tokens, Urgency urgency) {
+    own_tokens_.Remove(urgency, static_cast<uint32_t>(tokens.value()));
+  }
   /// Takes the load that the server reports in an answer.
   void OnReport(const ReportedLoad& load, MonoTime now);
   /// Takes the load that the other gateways together have on the server.
@@ -88,6 +99,12 @@
   /// @return Estimated requests of all gateways on the server that are at least
   /// as urgent.
   double LoadUpTo(Urgency urgency, MonoTime now) const;
+  /// @return The requests of all gateways on the server whose urgency is known.
+  UrgencyCounts RequestsByUrgency(MonoTime now) const;
+  /// @return Estimated tokens in the server's memory of the running requests of
+  /// all gateways that are at least as urgent. Requests that wait for a slot
+  /// hold none.
+  double TokensUpTo(Urgency urgency, MonoTime now) const;
   /// @return Estimated time until the engine has read the prompts of all
   /// gateways.
   absl::Duration PromptBacklog(MonoTime now) const {
@@ -122,6 +139,8 @@
   int in_flight_ = 0;
   /// The same requests by urgency.
   UrgencyCounts own_requests_;
+  /// Tokens that these requests need in the server's memory.
+  UrgencyCounts own_tokens_;
   ReportedLoad report_;
   MonoTime reported_at_;
   /// Requests of this gateway on the server when the report arrived.
--- a/camphorsail/placement/service_model.cc
+++ b/camphorsail/placement/service_model.cc
@@ -41,6 +41,29 @@
   }
 }
 
+void ServiceModel::OnPauseLimit(Urgency urgency, absl::Duration max_event_gap) {
+  absl::Duration& limit = pause_limits_[urgency.value()];
+  if (max_event_gap > absl::ZeroDuration() &&
+      (limit == absl::ZeroDuration() || max_event_gap < limit)) {
+    limit = max_event_gap;
+  }
+}
+
+void ServiceModel::OnGap(double tokens,
+                         absl::Duration gap,
+                         absl::Duration backlog,
+                         ServerSpeed* speed,
+                         MonoTime now) {
+  if (tokens <= 0 || gap <= absl::ZeroDuration()) {
+    return;
+  }
+  // The model is of a server of usual speed.
+  engine_.OnGap(tokens, gap / speed->lasting(), backlog / speed->lasting());
+  if (backlog <= absl::ZeroDuration()) {
+    speeds_.OnTokenTime(absl::ToDoubleMilliseconds(gap) / tokens, speed, now);
+  }
+}
+
 bool ServiceModel::IsInteractive(const Route& route) const {
   const auto found = routes_.find(route.name);
   return found == routes_.end() || found->second.is_interactive;
--- a/camphorsail/process/log_schema.h
+++ b/camphorsail/process/log_schema.h
@@ -48,6 +48,9 @@
     // Requests at a gateway.
     {"attempt_started", LogVolume::kBounded,
      "A server was chosen and the request was sent to it."},
+    {"load_report_odd", LogVolume::kBounded,
+     "A server's load report could not be read and is not used; the answer "
+     "that carried it is."},
     {"attempt_failed", LogVolume::kBounded,
      "An attempt on a server ended without an answer that can be forwarded."},
     {"request_answered", LogVolume::kBounded,
@@ -291,6 +294,9 @@
     {"incarnation", "Number of the server's or process's start."},
     {"key", "Idempotency key in the ledger."},
     {"known", "Whether the server was registered."},
+    {"lasting_slowness",
+     "How long work lastingly takes on the server, as a multiple of what is "
+     "usual in the service."},
     {"leader", "VM of the leader; empty while there is none."},
     {"learners", "Members without a vote."},
     {"least_urgent_start",
@@ -345,6 +351,7 @@
      "ones are late."},
     {"replica", "VM of a replica."},
     {"replicas", "VMs of the replicas, in the order of preference."},
+    {"report", "Begin of the text of a server's load report."},
     {"request", "The request's id; also in the answer."},
     {"request_hash",
      "Identifies the content of the request, however often it comes again."},
@@ -362,6 +369,9 @@
     {"service", "Service of the server."},
     {"signal", "Number of the signal."},
     {"slots", "Requests that the server runs at the same time."},
+    {"slowness",
+     "How long work is expected to take on the server now, as a multiple of "
+     "what is usual in the service."},
     {"source", "What a callback of the event loop was called for."},
     {"status", "HTTP status."},
     {"table_version", "Version of the routing table that decided."},
