Placement: shares of the accounts at an overloaded service

Nothing on the gateways' path knows accounts: one that sends many times its usual takes the room of all others.

Not connected yet.

--- /dev/null
+++ b/camphorsail/placement/service_account_work.h
@@ -0,0 +1,63 @@
+#ifndef CAMPHORSAIL_PLACEMENT_SERVICE_ACCOUNT_WORK_H_
+#define CAMPHORSAIL_PLACEMENT_SERVICE_ACCOUNT_WORK_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "camphorsail/placement/account_work.h"
+#include "camphorsail/placement/urgency_counts.h"
+#include "msgpack.hpp"
+
+namespace camphorsail {
+
+/// Work of the accounts at one overloaded service, as gateways and replicas
+/// tell each other. Sent only while requests are refused.
+struct ServiceAccountWork {
+  /// Hash of the service's name, equal on all VMs.
+  uint64_t service = 0;
+  /// False when `accounts` has only the entries that changed since the last
+  /// message.
+  bool is_complete = false;
+  /// The accounts with the most work.
+  std::vector<AccountWork> accounts;
+  /// Number and total work of the accounts that are not in the list.
+  uint32_t other_accounts = 0;
+  UrgencyCounts other_work;
+  /// Work per second that is refused because its answer would come too late.
+  UrgencyCounts refused;
+
+  MSGPACK_DEFINE(service,
+                 is_complete,
+                 accounts,
+                 other_accounts,
+                 other_work,
+                 refused)
+};
+
+/// Most accounts that a gateway and a replica send each other in one message,
+/// over all services. See docs/design/account-shares.md for the bytes.
+inline constexpr size_t kMaxSentAccounts = 32;
+/// Most accounts of one service that replicas send each other in one message.
+inline constexpr size_t kMaxReplicaAccounts = 64;
+
+/// @return Work of all urgencies together.
+uint64_t TotalWork(const UrgencyCounts& work);
+
+/// Moves all but the accounts with the most work to the other accounts.
+/// @param count Number of accounts that stay in the list.
+void KeepLargest(size_t count, ServiceAccountWork* work);
+
+/// Takes a message into what is known of its sender.
+/// @param known One entry for each service.
+void UpdateAccountWork(const std::vector<ServiceAccountWork>& received,
+                       std::vector<ServiceAccountWork>* known);
+
+/// Adds the work at one or more gateways to that at others.
+/// @param sum One entry for each service.
+void AddAccountWork(const std::vector<ServiceAccountWork>& added,
+                    std::vector<ServiceAccountWork>* sum);
+
+}  // namespace camphorsail
+
+#endif  // CAMPHORSAIL_PLACEMENT_SERVICE_ACCOUNT_WORK_H_
