Gateways: what has to be refused is taken from the accounts above their share

At an overloaded service an account that sent many times its usual took the room of all others, because the gate knew urgency alone. The total share that is refused per urgency is as before; which requests these are follows from AccountShares. Requests above their account's share wait for half the latency objective at most, so that the others still find room in the queue. Nothing less urgent may have been started, as before.

Fields are appended, so that older peers are read. Accounts have a weight in the routing table, 1 by default; no document sets it yet.

The decisions on overload move from gateway.cc to gateway_admission.cc.

--- a/camphorsail/gateway/exchange.h
+++ b/camphorsail/gateway/exchange.h
@@ -19,6 +19,7 @@
 #include "camphorsail/gateway/server_reply.h"
 #include "camphorsail/net/event_loop.h"
 #include "camphorsail/placement/admission_check.h"
+#include "camphorsail/placement/admission_gate.h"
 #include "camphorsail/placement/backend_server.h"
 #include "camphorsail/placement/placement.h"
 #include "camphorsail/quarantine/part_treatment.h"
@@ -83,6 +84,9 @@
   const Route* route = nullptr;
   const ServiceProfile* service = nullptr;
   ClientAccountId account;
+  /// The request as it counts for its account; nothing when the table does not
+  /// tell several accounts apart, and for calls to plain services.
+  std::optional<AdmissionGate::AccountRequest> account_request;
   /// Why the request may end a server: the parts of its prompt that other
   /// requests may share, and the request as a whole once its hash is known.
   PromptPartHashes causes;
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -19,10 +19,6 @@
 constexpr double kProgressTimeoutFactor = 2;
 constexpr absl::Duration kMinCallProgressTimeout = absl::Milliseconds(150);
 constexpr absl::Duration kMinStreamProgressTimeout = absl::Milliseconds(1000);
-/// A request is refused when the best server is full and the start of the
-/// answer is expected later than this fraction of the latency objective,
-/// because a late answer has little value and delays other requests.
-constexpr double kAdmissionObjectiveFraction = 0.9;
 /// Separates the random numbers for the choice of route targets from those of
 /// the placement, which has the same seed. ASCII "route".
 constexpr uint64_t kTargetChoiceSeedMask = 0x726f757465;
@@ -138,6 +134,7 @@
   index_ = MakeRef<RouteIndex>(table);
   index_since_ = loop_->now();
   fleet_.SetServices(table->table.services, loop_->now());
+  SetAccountWeights();
   LogEvent("routing_in_force")
       .Add("version", table->table.version)
       .Add("routes", table->table.routes.size())
@@ -357,6 +354,7 @@
       std::max(1, exchange->service->slots));
   demand_.Add(placement.is_interactive, work_ms, loop_->now());
   model.admission().OnArrival(placement.urgency, work_ms, loop_->now());
+  CountForAccount(exchange, work_ms);
 }
 
 void Gateway::RecordStreamEnd(const Exchange& exchange) {
@@ -450,92 +448,6 @@
          "no backend server of the service is available");
 }
 
-absl::Duration Gateway::AdmissionLimit(const Exchange& exchange,
-                                       const PlacementChoice& choice) const {
-  const Route& route = *exchange.route;
-  if (!exchange.service->is_engine || route.objective_ms == 0) {
-    return absl::InfiniteDuration();
-  }
-  // The time that the caller still waits does not tell how long it has waited:
-  // some callers wait for less than the route allows from the start.
-  const absl::Duration limit =
-      absl::Milliseconds(route.objective_ms) * kAdmissionObjectiveFraction;
-  // An engine with free slots is full too when it has too many prompts to read.
-  const bool has_room =
-      choice.server->Load(loop_->now()) < choice.server->slots &&
-      choice.queue <= limit;
-  return has_room ? absl::InfiniteDuration() : limit;
-}
-
-bool Gateway::AdmitOrRefuse(Exchange* exchange, const PlacementChoice& choice) {
-  const absl::Duration limit = AdmissionLimit(*exchange, choice);
-  AdmissionGate& gate = ModelOf(*exchange).admission();
-  const Urgency urgency = exchange->placement.urgency;
-  const AdmissionGate::Verdict verdict =
-      gate.Judge(urgency, choice.expected, limit, loop_->now());
-  const UrgencySet changed = gate.TakeChanges();
-  for (int level = 0; level < kUrgencyLevels; ++level) {
-    if (changed.Contains(Urgency(level))) {
-      LogEvent("admission_changed")
-          .Add("service", exchange->service->name)
-          .Add("urgency", level)
-          .Add("refused_share", gate.RefusedShare(Urgency(level)));
-    }
-  }
-  if (verdict == AdmissionGate::Verdict::kAdmit) {
-    return true;
-  }
-  exchange->refused_by = DescribeAdmission(*exchange, choice, limit);
-  exchange->is_closed = verdict == AdmissionGate::Verdict::kClosed;
-  Refuse(exchange, ErrorKind::kOverloaded,
-         verdict == AdmissionGate::Verdict::kClosed
-             ? "more urgent requests are late"
-             : "the start of the answer is expected later than the latency "
-               "objective allows");
-  return false;
-}
-
-std::vector<ServiceAdmissionState> Gateway::AdmissionStates() const {
-  std::vector<ServiceAdmissionState> states;
-  for (const auto& [service, model] : models_) {
-    ServiceAdmissionState state = model.admission().OwnState(loop_->now());
-    state.service = StableHash(service.value());
-    if (!state.late.IsEmpty() || !state.started.IsEmpty()) {
-      states.push_back(state);
-    }
-  }
-  return states;
-}
-
-void Gateway::OnAdmissionStates(
-    const std::vector<ServiceAdmissionState>& states) {
-  for (auto& [service, model] : models_) {
-    const uint64_t hash = StableHash(service.value());
-    for (const ServiceAdmissionState& state : states) {
-      if (state.service == hash) {
-        model.admission().OnFleetState(state, loop_->now());
-      }
-    }
-  }
-}
-
-AdmissionCheck Gateway::DescribeAdmission(const Exchange& exchange,
-                                          const PlacementChoice& choice,
-                                          absl::Duration limit) {
-  const MonoTime now = loop_->now();
-  AdmissionCheck check;
-  check.server = choice.server->id;
-  check.load = choice.server->Load(now);
-  check.slots = choice.server->slots;
-  check.backlog = choice.server->PromptBacklog(now);
-  check.expected = choice.expected;
-  check.limit = limit;
-  check.candidates = choice.candidates;
-  check.least_urgent_start =
-      ModelOf(exchange).admission().Started(now).LeastUrgent();
-  return check;
-}
-
 Expected<std::string> Gateway::BuildRequestHead(const Exchange& exchange,
                                                 const BackendServer& server,
                                                 MonoTime now) const {
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "camphorsail/gateway/refusal_outbox.h"
 #include "camphorsail/gateway/wire_dialect.h"
 #include "camphorsail/net/event_loop.h"
+#include "camphorsail/placement/account_shares.h"
 #include "camphorsail/placement/demand_meter.h"
 #include "camphorsail/placement/placement.h"
 #include "camphorsail/placement/service_admission_state.h"
@@ -76,6 +77,11 @@
   std::vector<ServiceAdmissionState> AdmissionStates() const;
   /// Takes what all gateways together tell about overloaded services.
   void OnAdmissionStates(const std::vector<ServiceAdmissionState>& states);
+  /// @return The work of the accounts at overloaded services that the replicas
+  /// are to be told now.
+  std::vector<ServiceAccountWork> TakeAccountWork();
+  /// Takes the work of the accounts at all gateways together.
+  void OnFleetAccountWork(const std::vector<ServiceAccountWork>& work);
   /// @return What the other gateways need to know about prompt parts that end
   /// servers.
   QuarantineReport QuarantineState() const {
@@ -215,6 +221,11 @@
   /// Updates the typical length and duration of the route's streams by a
   /// completed stream.
   void RecordStreamEnd(const Exchange& exchange);
+  /// Takes the weights of the accounts from the routing table.
+  void SetAccountWeights();
+  /// Counts a new request for its account, if the table has several accounts.
+  /// @param work_ms Engine time that the request takes, in milliseconds.
+  void CountForAccount(Exchange* exchange, double work_ms);
   /// @return What is known about the service of an exchange.
   ServiceModel& ModelOf(const Exchange& exchange);
   /// Ends a failed attempt. Starts another one if this is allowed, and else
@@ -311,6 +322,10 @@
   /// The routing table in use; null until there is one.
   Ref<RouteIndex> index_;
   MonoTime index_since_;
+  /// Weights of the accounts in the table.
+  AccountWeights account_weights_;
+  /// False when the table does not tell several accounts apart.
+  bool has_account_shares_ = false;
   MonoTime lease_valid_until_;
   int gateway_count_ = 1;
   bool draining_ = false;
--- a/camphorsail/gateway/gateway_answer.cc
+++ b/camphorsail/gateway/gateway_answer.cc
@@ -33,17 +33,6 @@
 /// Bytes waiting to be sent to a caller above which the gateway stops reading
 /// from the backend server (back pressure).
 constexpr size_t kMaxUnsentBytes = 256 * 1024;
-/// Time after which a refused caller is asked to retry.
-constexpr absl::Duration kRetryAfter = absl::Milliseconds(300);
-/// Time after which a caller is asked to retry when the gateway is not ready.
-constexpr absl::Duration kRetryAfterNotReady = absl::Milliseconds(800);
-/// Shortest time after which a caller is asked to retry when its request was
-/// refused for more urgent ones; the longest is twice that. Longer than the
-/// shares of the requests that are refused need to follow the load.
-constexpr absl::Duration kRetryAfterClosed = absl::Milliseconds(1500);
-/// Upper bound of these times, as a fraction of the time until the caller's
-/// deadline. Callers ignore a longer `Retry-After`.
-constexpr double kRetryAfterFraction = 0.3;
 /// Largest fraction by which a gateway lengthens the time that a server asks it
 /// to stay away.
 constexpr double kRestSpread = 0.1;
@@ -477,21 +466,6 @@
   caller->SendComplete(reply.status, reply.headers, reply.body);
 }
 
-absl::Duration Gateway::RetryAfter(const Exchange& exchange, ErrorKind kind) {
-  const bool not_ready =
-      kind == ErrorKind::kNotReady || kind == ErrorKind::kLeaseExpired;
-  absl::Duration base = not_ready ? kRetryAfterNotReady : kRetryAfter;
-  if (exchange.is_closed) {
-    base = kRetryAfterClosed * (1 + random_.Uniform());
-  }
-  base = std::max({base, exchange.servers_rest_for, exchange.suspected_for});
-  if (exchange.deadline == MonoTime::Infinite()) {
-    return base;
-  }
-  return std::clamp((exchange.deadline - loop_->now()) * kRetryAfterFraction,
-                    absl::ZeroDuration(), base);
-}
-
 void Gateway::OnDeadline(Exchange* exchange) {
   if (exchange->attempt.has_value() &&
       (exchange->attempt->connection != nullptr || exchange->is_held)) {
--- a/camphorsail/gateway/gateway_group_load.h
+++ b/camphorsail/gateway/gateway_group_load.h
@@ -6,6 +6,7 @@
 
 #include "camphorsail/placement/engine_demand.h"
 #include "camphorsail/placement/gateway_server_load.h"
+#include "camphorsail/placement/service_account_work.h"
 #include "camphorsail/placement/service_admission_state.h"
 #include "camphorsail/quarantine/quarantine_report.h"
 
@@ -26,8 +27,16 @@
   /// Wall clock of the replica, in microseconds since the Unix epoch, see
   /// `TrueClock`; zero when it does not count usage.
   int64_t wall_micros = 0;
+  /// Work of the accounts at overloaded services, at these gateways together.
+  std::vector<ServiceAccountWork> accounts;
 
-  MSGPACK_DEFINE(gateways, loads, demand, admission, quarantine, wall_micros)
+  MSGPACK_DEFINE(gateways,
+                 loads,
+                 demand,
+                 admission,
+                 quarantine,
+                 wall_micros,
+                 accounts)
 };
 
 }  // namespace camphorsail
--- a/camphorsail/gateway/gateway_poll.h
+++ b/camphorsail/gateway/gateway_poll.h
@@ -7,6 +7,7 @@
 #include "camphorsail/gateway/refusal_report.h"
 #include "camphorsail/placement/engine_demand.h"
 #include "camphorsail/placement/gateway_server_load.h"
+#include "camphorsail/placement/service_account_work.h"
 #include "camphorsail/placement/service_admission_state.h"
 #include "camphorsail/quarantine/quarantine_report.h"
 #include "camphorsail/usage/usage_count.h"
@@ -33,6 +34,9 @@
   QuarantineReport quarantine;
   /// Counts that changed since an answered poll carried them, see `UsageMeter`.
   std::vector<UsageCount> usage;
+  /// Work of the accounts at overloaded services; carried only while there are
+  /// any, see `AccountShares`.
+  std::vector<ServiceAccountWork> accounts;
 
   MSGPACK_DEFINE(token,
                  table_version,
@@ -41,7 +45,8 @@
                  refusals,
                  admission,
                  quarantine,
-                 usage)
+                 usage,
+                 accounts)
 };
 
 /// The bits of a poll's token above these identify the start of the gateway's
--- a/camphorsail/gateway/gateway_update.h
+++ b/camphorsail/gateway/gateway_update.h
@@ -8,6 +8,7 @@
 #include "camphorsail/base/msgpack_strong_id.h"
 #include "camphorsail/placement/engine_demand.h"
 #include "camphorsail/placement/gateway_server_load.h"
+#include "camphorsail/placement/service_account_work.h"
 #include "camphorsail/placement/service_admission_state.h"
 #include "camphorsail/quarantine/quarantine_report.h"
 #include "camphorsail/routing/routing_table.h"
@@ -47,6 +48,8 @@
   /// True time when the update was sent, in microseconds since the Unix epoch;
   /// zero when the replica does not count usage.
   int64_t true_micros = 0;
+  /// Work of the accounts at overloaded services, at all gateways together.
+  std::vector<ServiceAccountWork> accounts;
 
   MSGPACK_DEFINE(token,
                  confirmed,
@@ -59,7 +62,8 @@
                  deltas,
                  admission,
                  quarantine,
-                 true_micros)
+                 true_micros,
+                 accounts)
 };
 
 }  // namespace camphorsail
--- a/camphorsail/placement/account_division.cc
+++ b/camphorsail/placement/account_division.cc
@@ -52,7 +52,7 @@
                                 const UrgencyFractions& refused) {
   AccountDivision division;
   division.refused.resize(demands.size());
-  division.share = std::numeric_limits<double>::infinity();
+  division.share.fill(std::numeric_limits<double>::infinity());
   std::vector<double> left;
   double highest = 0;
   for (const AccountDemand& demand : demands) {
@@ -76,7 +76,7 @@
       const double middle = (low + high) / 2;
       (cut.Sum(middle) > refused[urgency] * work ? low : high) = middle;
     }
-    division.share = std::min(division.share, high);
+    division.share[urgency] = high;
     for (size_t i = 0; i < demands.size(); ++i) {
       if (const double own = demands[i].work[urgency]; own > 0) {
         const double taken = cut.Of(i, high);
--- a/camphorsail/placement/account_division.h
+++ b/camphorsail/placement/account_division.h
@@ -25,10 +25,11 @@
 struct AccountDivision {
   /// Fraction of the work of each urgency that is refused, by demand.
   std::vector<UrgencyFractions> refused;
-  /// Work that an account of weight 1 may have, in milliseconds per second;
-  /// what an account does not use is divided between the others. Infinite when
+  /// For each urgency, the work of all urgencies that an account of weight 1
+  /// may have before its requests are refused, in milliseconds per second. What
+  /// an account does not use is divided between the others. Infinite when
   /// nothing is refused.
-  double share = 0;
+  std::array<double, kUrgencyLevels> share{};
 };
 
 /// Smallest fraction of an account's requests that is accepted, relative to all
--- a/camphorsail/placement/account_shares.cc
+++ b/camphorsail/placement/account_shares.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <numeric>
 #include <vector>
 
@@ -13,6 +14,9 @@
 /// Part of the work below which refusals are not divided by account: an average
 /// that decays never becomes zero.
 constexpr double kLeastPart = 0.005;
+/// Least work of a request: while the speed of the engines is not known yet,
+/// the accounts are compared by their numbers of requests.
+constexpr double kLeastRequestMs = 1;
 /// An account with less work, in milliseconds per second, is forgotten.
 constexpr double kLeastWorkMs = 0.01;
 /// Relative change from which the work of an account is sent again.
@@ -65,13 +69,13 @@
                               Urgency urgency,
                               double work_ms,
                               MonoTime now) {
-  Add(urgency, work_ms, now, &own_[account]);
+  Add(urgency, std::max(work_ms, kLeastRequestMs), now, &own_[account]);
 }
 
 void AccountShares::OnRefusedLate(Urgency urgency,
                                   double work_ms,
                                   MonoTime now) {
-  Add(urgency, work_ms, now, &refused_late_);
+  Add(urgency, std::max(work_ms, kLeastRequestMs), now, &refused_late_);
   refused_late_at_ = now;
 }
 
@@ -117,7 +121,8 @@
   parts_.clear();
   other_parts_ = Parts();
   has_other_parts_ = false;
-  share_ = 0;
+  share_.fill(std::numeric_limits<double>::infinity());
+  refused_ = {};
 
   std::vector<AccountHash> accounts;
   std::vector<AccountDemand> demands;
@@ -131,7 +136,20 @@
   if (IsFleetWorkRecent(now)) {
     late = ToAmounts(fleet_work_.refused);
     for (const auto& [account, work] : fleet_) {
-      add(account, work);
+      // What this gateway has counted may be newer.
+      UrgencyFractions known = work;
+      if (const auto own = own_.find(account); own != own_.end()) {
+        const UrgencyFractions counted = Decayed(own->second, now);
+        for (int level = 0; level < kUrgencyLevels; ++level) {
+          known[level] = std::max(known[level], counted[level]);
+        }
+      }
+      add(account, known);
+    }
+    for (const auto& [account, work] : own_) {
+      if (fleet_work_.other_accounts == 0 && !fleet_.contains(account)) {
+        add(account, Decayed(work, now));
+      }
     }
     if (fleet_work_.other_accounts > 0) {
       has_other_parts_ = true;
@@ -166,6 +184,7 @@
   const AccountDivision by_closed = DivideByAccount(demands, closed);
   const AccountDivision by_total = DivideByAccount(demands, total);
   share_ = by_total.share;
+  refused_ = total;
   for (size_t i = 0; i < demands.size(); ++i) {
     Parts& parts = i < accounts.size() ? parts_[accounts[i]] : other_parts_;
     parts.closed = by_closed.refused[i];
@@ -198,9 +217,15 @@
 }
 
 AccountShares::Standing AccountShares::StandingOf(AccountHash account,
+                                                  Urgency urgency,
                                                   MonoTime now) const {
   Standing standing;
-  standing.share_ms = share_ * WeightOf(account);
+  standing.share_ms = share_[urgency.value()] * WeightOf(account);
+  const double accepted_of_all = 1 - refused_[urgency.value()];
+  if (accepted_of_all > 0) {
+    standing.served_ratio = (1 - ClosedPart(account, urgency)) *
+                            (1 - AbovePart(account, urgency)) / accepted_of_all;
+  }
   if (const auto known = fleet_.find(account);
       known != fleet_.end() && IsFleetWorkRecent(now)) {
     standing.work_ms = Sum(known->second);
@@ -222,10 +247,10 @@
   return work;
 }
 
-std::optional<ServiceAccountWork> AccountShares::TakeReport(bool is_closed,
+std::optional<ServiceAccountWork> AccountShares::TakeReport(bool is_refusing,
                                                             size_t max_accounts,
                                                             MonoTime now) {
-  if (!is_closed && !IsOverloaded(now)) {
+  if (!is_refusing) {
     reported_at_.reset();
     reports_until_complete_ = 0;
     return std::nullopt;
--- a/camphorsail/placement/account_shares.h
+++ b/camphorsail/placement/account_shares.h
@@ -34,7 +34,9 @@
     /// the service is overloaded, in milliseconds per second.
     double work_ms = 0;
     double share_ms = 0;
-    bool IsAboveShare() const { return work_ms > share_ms; }
+    /// Accepted part of the account's requests of the urgency, relative to that
+    /// of all accounts; less than 1 when the account is above its share.
+    double served_ratio = 1;
   };
 
   /// Time constant of the average work. Short compared with a burst, and long
@@ -76,15 +78,15 @@
   /// ones, the part that lies above its share: they are refused first when
   /// answers would come too late.
   double AbovePart(AccountHash account, Urgency urgency) const;
-  Standing StandingOf(AccountHash account, MonoTime now) const;
+  Standing StandingOf(AccountHash account, Urgency urgency, MonoTime now) const;
   /// @return True while this or another gateway refuses requests because of
   /// overload.
   bool IsOverloaded(MonoTime now) const;
 
-  /// @param is_closed True while requests are refused for more urgent ones.
+  /// @param is_refusing True while this or another gateway refuses requests.
   /// @param max_accounts Most accounts to list.
   /// @return What the replicas are to be told now, if anything.
-  std::optional<ServiceAccountWork> TakeReport(bool is_closed,
+  std::optional<ServiceAccountWork> TakeReport(bool is_refusing,
                                                size_t max_accounts,
                                                MonoTime now);
 
@@ -127,7 +129,10 @@
   /// there is such a list.
   Parts other_parts_;
   bool has_other_parts_ = false;
-  double share_ = 0;
+  /// See `AccountDivision`.
+  std::array<double, kUrgencyLevels> share_{};
+  /// Part of the requests of each urgency that is refused.
+  UrgencyFractions refused_{};
 
   std::optional<MonoTime> reported_at_;
   int reports_until_complete_ = 0;
--- a/camphorsail/placement/admission_check.h
+++ b/camphorsail/placement/admission_check.h
@@ -6,6 +6,7 @@
 #include "absl/time/time.h"
 #include "camphorsail/base/ids.h"
 #include "camphorsail/base/urgency.h"
+#include "camphorsail/placement/account_shares.h"
 
 namespace camphorsail {
 
@@ -27,6 +28,10 @@
   /// Least urgent request of the service that any gateway has sent to a server
   /// recently, see `AdmissionGate`.
   std::optional<Urgency> least_urgent_start;
+  /// Time after which the request would have been admitted if no other came.
+  absl::Duration time_until_room;
+  /// The account's work and share; nothing when accounts are not told apart.
+  std::optional<AccountShares::Standing> standing;
 };
 
 }  // namespace camphorsail
--- a/camphorsail/placement/admission_gate.cc
+++ b/camphorsail/placement/admission_gate.cc
@@ -83,6 +83,15 @@
                             ratio);
 }
 
+bool AdmissionGate::TakeCredit(double part, double* credit) {
+  *credit += 1 - part;
+  if (*credit < 1) {
+    return false;
+  }
+  *credit -= 1;
+  return true;
+}
+
 AdmissionGate::Verdict AdmissionGate::Judge(Urgency urgency,
                                             absl::Duration expected,
                                             absl::Duration limit,
@@ -92,20 +101,64 @@
     return Verdict::kAdmit;
   }
   Level& level = levels_[urgency.value()];
-  if (level.refused_share > 0) {
-    level.credit += 1 - level.refused_share;
-    if (level.credit < 1) {
-      return Verdict::kClosed;
-    }
-    level.credit -= 1;
+  if (level.refused_share > 0 &&
+      !TakeCredit(level.refused_share, &level.credit)) {
+    return Verdict::kClosed;
   }
   if (expected * level.wait_ratio <= limit) {
     return Verdict::kAdmit;
   }
   level.late_at = now;
-  return LargerAndLessUrgent(Started(now), urgency).IsEmpty()
-             ? Verdict::kTooLate
-             : Verdict::kAdmit;
+  return IsLast(urgency, now) ? Verdict::kTooLate : Verdict::kAdmit;
+}
+
+AdmissionGate::Verdict AdmissionGate::Judge(Urgency urgency,
+                                            const AccountRequest& request,
+                                            absl::Duration expected,
+                                            absl::Duration limit,
+                                            MonoTime now) {
+  Update(now);
+  UrgencyFractions closed{};
+  for (int i = 0; i < kUrgencyLevels; ++i) {
+    closed[i] = levels_[i].refused_share;
+  }
+  accounts_.Update(closed, now);
+  if (limit == absl::InfiniteDuration()) {
+    return Verdict::kAdmit;
+  }
+  Level& level = levels_[urgency.value()];
+  if (level.refused_share > 0 &&
+      // An urgency that is closed whole is closed to accounts that are not
+      // known yet, too.
+      !TakeCredit(level.refused_share < 1
+                      ? accounts_.ClosedPart(request.account, urgency)
+                      : 1,
+                  &level.credit)) {
+    return Verdict::kClosed;
+  }
+  const absl::Duration wait = expected * level.wait_ratio;
+  const double above = accounts_.AbovePart(request.account, urgency);
+  if (above > 0 && !TakeCredit(above, &level.share_credit) &&
+      wait > limit * kAboveShareWait && IsLast(urgency, now)) {
+    accounts_.OnRefusedLate(urgency, request.work_ms, now);
+    return Verdict::kAboveShare;
+  }
+  if (wait <= limit) {
+    return Verdict::kAdmit;
+  }
+  level.late_at = now;
+  if (!IsLast(urgency, now)) {
+    return Verdict::kAdmit;
+  }
+  accounts_.OnRefusedLate(urgency, request.work_ms, now);
+  return Verdict::kTooLate;
+}
+
+bool AdmissionGate::IsRefusing(MonoTime now) const {
+  return accounts_.IsOverloaded(now) ||
+         std::any_of(levels_.begin(), levels_.end(), [](const Level& level) {
+           return level.refused_share > 0;
+         });
 }
 
 void AdmissionGate::Update(MonoTime now) {
--- a/camphorsail/placement/admission_gate.h
+++ b/camphorsail/placement/admission_gate.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORSAIL_PLACEMENT_ADMISSION_GATE_H_
 #define CAMPHORSAIL_PLACEMENT_ADMISSION_GATE_H_
 
+#include <algorithm>
 #include <array>
 #include <optional>
 #include <utility>
@@ -8,6 +9,7 @@
 #include "absl/time/time.h"
 #include "camphorsail/base/mono_time.h"
 #include "camphorsail/base/urgency.h"
+#include "camphorsail/placement/account_shares.h"
 #include "camphorsail/placement/service_admission_state.h"
 #include "camphorsail/placement/urgency_set.h"
 
@@ -25,6 +27,12 @@
 /// urgencies are late and which were started; a gateway that is cut off decides
 /// on its own.
 ///
+/// Within one urgency, the accounts that ask for more than their share are
+/// refused first (see `AccountShares`). The share of all requests that is
+/// refused stays the same. A request that lies above its account's share waits
+/// at the servers for a part of the latency objective only, so that there is
+/// room for those of the other accounts.
+///
 /// Not thread-safe; used on the event loop's thread only.
 class AdmissionGate {
  public:
@@ -35,6 +43,17 @@
     /// Refuse: the answer is expected too late, and no less urgent request has
     /// been served recently.
     kTooLate,
+    /// Refuse: the account asks for more than its share, and the wait at the
+    /// servers is kept short for the other accounts. Nothing less urgent has
+    /// been served recently.
+    kAboveShare,
+  };
+
+  /// A request of a client account.
+  struct AccountRequest {
+    AccountHash account;
+    /// Server time that the request takes, in milliseconds.
+    double work_ms = 0;
   };
 
   /// Time for which no larger, less urgent request may have been started before
@@ -50,6 +69,9 @@
   /// Change of the refused shares in one interval while none are late. Slower,
   /// so that callers who come back do not make the urgent requests late again.
   static constexpr double kOpenStep = 0.1;
+  /// Part of the longest wait that is open to requests above their account's
+  /// share.
+  static constexpr double kAboveShareWait = 0.5;
 
   /// Takes a new request into account.
   /// @param work_ms Server time that the request takes, in milliseconds.
@@ -63,6 +85,13 @@
                 absl::Duration expected,
                 absl::Duration limit,
                 MonoTime now);
+  /// Decides on a request of an account, whose arrival `accounts` has counted.
+  /// @param expected, limit See above.
+  Verdict Judge(Urgency urgency,
+                const AccountRequest& request,
+                absl::Duration expected,
+                absl::Duration limit,
+                MonoTime now);
   /// Records that a request is sent to a server.
   void OnStarted(Urgency urgency, MonoTime now) {
     levels_[urgency.value()].started_at = now;
@@ -87,6 +116,17 @@
   /// @return The urgencies whose refused shares have changed since the last
   /// call.
   UrgencySet TakeChanges() { return std::exchange(changed_, UrgencySet()); }
+  AccountShares& accounts() { return accounts_; }
+  const AccountShares& accounts() const { return accounts_; }
+  /// @return True while this or another gateway refuses requests.
+  bool IsRefusing(MonoTime now) const;
+  /// @return Time after which the request would be admitted if no other came.
+  absl::Duration TimeUntilRoom(Urgency urgency,
+                               absl::Duration expected,
+                               absl::Duration limit) const {
+    return std::max(absl::ZeroDuration(),
+                    expected * levels_[urgency.value()].wait_ratio - limit);
+  }
   /// @return Share of the requests of an urgency that is refused because more
   /// urgent ones are late, from 0 to 1.
   double RefusedShare(Urgency urgency) const {
@@ -110,6 +150,8 @@
     /// Spreads the refusals evenly: each request adds the share that is
     /// accepted, and one that is accepted takes 1.
     double credit = 0;
+    /// Likewise for the requests within the shares of their accounts.
+    double share_credit = 0;
   };
 
   /// Time for which a late request counts.
@@ -130,8 +172,17 @@
   /// Changes the refused shares if it is time to.
   void Update(MonoTime now);
   void ChangeShare(Urgency urgency, double change);
+  /// Spreads decisions evenly.
+  /// @param part Part of the requests like this one for which to return false.
+  static bool TakeCredit(double part, double* credit);
+  /// @return True when requests of `urgency` may be refused as late: no less
+  /// urgent one that takes at least as much work was started recently.
+  bool IsLast(Urgency urgency, MonoTime now) const {
+    return LargerAndLessUrgent(Started(now), urgency).IsEmpty();
+  }
 
   std::array<Level, kUrgencyLevels> levels_;
+  AccountShares accounts_;
   ServiceAdmissionState fleet_;
   std::optional<MonoTime> fleet_at_;
   std::optional<MonoTime> updated_at_;
--- a/camphorsail/placement/service_account_work.cc
+++ b/camphorsail/placement/service_account_work.cc
@@ -1,8 +1,7 @@
 #include "camphorsail/placement/service_account_work.h"
 
 #include <algorithm>
-
-#include "absl/container/flat_hash_map.h"
+#include <utility>
 
 namespace camphorsail {
 namespace {
@@ -18,26 +17,6 @@
   return list->back();
 }
 
-/// Calls a function with each entry of `added` and with the entry of `known`
-/// for the same account, which it creates if there is none.
-template <typename Function>
-void ForEachPair(const std::vector<AccountWork>& added,
-                 std::vector<AccountWork>* known,
-                 const Function& function) {
-  absl::flat_hash_map<AccountHash, size_t> places;
-  for (size_t i = 0; i < known->size(); ++i) {
-    places.emplace((*known)[i].account, i);
-  }
-  for (const AccountWork& entry : added) {
-    const auto [place, is_new] =
-        places.try_emplace(entry.account, known->size());
-    if (is_new) {
-      known->push_back({entry.account, {}});
-    }
-    function(entry, &(*known)[place->second]);
-  }
-}
-
 }  // namespace
 
 uint64_t TotalWork(const UrgencyCounts& work) {
@@ -69,30 +48,49 @@
     ServiceAccountWork& entry = EntryOf(update.service, known);
     std::vector<AccountWork> accounts = std::move(entry.accounts);
     entry = update;
-    if (!update.is_complete) {
-      entry.accounts = std::move(accounts);
-      ForEachPair(update.accounts, &entry.accounts,
-                  [](const AccountWork& added, AccountWork* old) {
-                    old->work = added.work;
-                  });
+    if (update.is_complete) {
+      continue;
     }
+    for (const AccountWork& changed : update.accounts) {
+      std::erase_if(accounts, [&](const AccountWork& old) {
+        return old.account == changed.account;
+      });
+    }
+    entry.accounts.insert(entry.accounts.end(), accounts.begin(),
+                          accounts.end());
   }
 }
 
-void AddAccountWork(const std::vector<ServiceAccountWork>& added,
-                    std::vector<ServiceAccountWork>* sum) {
-  for (const ServiceAccountWork& other : added) {
-    ServiceAccountWork& entry = EntryOf(other.service, sum);
-    entry.is_complete = true;
-    ForEachPair(other.accounts, &entry.accounts,
-                [](const AccountWork& work, AccountWork* known) {
-                  known->work += work.work;
-                });
+void AccountWorkSum::Add(const std::vector<ServiceAccountWork>& added) {
+  for (const ServiceAccountWork& work : added) {
+    Sum& sum = sums_[work.service];
+    for (const AccountWork& entry : work.accounts) {
+      sum.accounts[entry.account] += entry.work;
+    }
     // The same small accounts are in the rest of several gateways.
-    entry.other_accounts = std::max(entry.other_accounts, other.other_accounts);
-    entry.other_work += other.other_work;
-    entry.refused += other.refused;
+    sum.other_accounts = std::max(sum.other_accounts, work.other_accounts);
+    sum.other_work += work.other_work;
+    sum.refused += work.refused;
+  }
+}
+
+std::vector<ServiceAccountWork> AccountWorkSum::List(
+    size_t max_accounts) const {
+  std::vector<ServiceAccountWork> list;
+  for (const auto& [service, sum] : sums_) {
+    ServiceAccountWork work;
+    work.service = service;
+    work.is_complete = true;
+    for (const auto& [account, amount] : sum.accounts) {
+      work.accounts.push_back({account, amount});
+    }
+    work.other_accounts = sum.other_accounts;
+    work.other_work = sum.other_work;
+    work.refused = sum.refused;
+    KeepLargest(std::max<size_t>(1, max_accounts / sums_.size()), &work);
+    list.push_back(std::move(work));
   }
+  return list;
 }
 
 }  // namespace camphorsail
--- a/camphorsail/placement/service_account_work.h
+++ b/camphorsail/placement/service_account_work.h
@@ -3,8 +3,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "camphorsail/placement/account_work.h"
 #include "camphorsail/placement/urgency_counts.h"
 #include "msgpack.hpp"
@@ -53,10 +55,24 @@
 void UpdateAccountWork(const std::vector<ServiceAccountWork>& received,
                        std::vector<ServiceAccountWork>* known);
 
-/// Adds the work at one or more gateways to that at others.
-/// @param sum One entry for each service.
-void AddAccountWork(const std::vector<ServiceAccountWork>& added,
-                    std::vector<ServiceAccountWork>* sum);
+/// Sum of the work at several gateways.
+class AccountWorkSum {
+ public:
+  void Add(const std::vector<ServiceAccountWork>& added);
+  /// @param max_accounts Most accounts to list, over all services.
+  /// @return One entry for each service.
+  std::vector<ServiceAccountWork> List(size_t max_accounts) const;
+
+ private:
+  struct Sum {
+    absl::flat_hash_map<AccountHash, UrgencyCounts> accounts;
+    uint32_t other_accounts = 0;
+    UrgencyCounts other_work;
+    UrgencyCounts refused;
+  };
+  /// By service.
+  std::map<uint64_t, Sum> sums_;
+};
 
 }  // namespace camphorsail
 
--- a/camphorsail/routing/account_keys.h
+++ b/camphorsail/routing/account_keys.h
@@ -18,9 +18,12 @@
   /// ordered by this rank first and then by the rank of their route. An account
   /// without a rank counts as rank 0.
   std::optional<int> rank;
+  /// Share of the account in an overloaded service, relative to the other
+  /// accounts; positive.
+  double weight = 1;
 
   friend bool operator==(const AccountKeys&, const AccountKeys&) = default;
-  MSGPACK_DEFINE(account, api_keys, rank)
+  MSGPACK_DEFINE(account, api_keys, rank, weight)
 };
 
 }  // namespace camphorsail
--- a/camphorsail/routing/routing_table.cc
+++ b/camphorsail/routing/routing_table.cc
@@ -1,5 +1,6 @@
 #include "camphorsail/routing/routing_table.h"
 
+#include <cmath>
 #include <map>
 #include <set>
 #include <utility>
@@ -76,6 +77,12 @@
                                "its ends, but is '",
                                absl::CEscape(account.account.value()), "'"));
     }
+    if (!(account.weight > 0) || !std::isfinite(account.weight)) {
+      return Fail(
+          ErrorKind::kSettingsInvalid,
+          absl::StrCat("the weight of account '", account.account.value(),
+                       "' must be a positive number, but is ", account.weight));
+    }
     for (const std::string& key : account.api_keys) {
       const auto [owner, inserted] = key_owners.emplace(key, account.account);
       if (!inserted && owner->second != account.account) {
--- a/camphorsail/routing/routing_table.h
+++ b/camphorsail/routing/routing_table.h
@@ -37,8 +37,9 @@
   /// a message that names the first error: a service that is listed twice, a
   /// route to an unknown service, two routes with the same host and path
   /// prefix, a path prefix that does not begin and end with a slash, a timeout
-  /// that is not positive, a negative weight, weights whose sum is 0, or an API
-  /// key that two accounts share.
+  /// that is not positive, a negative weight, weights whose sum is 0, an
+  /// account whose weight is not positive, or an API key that two accounts
+  /// share.
   Expected<void> Validate() const;
 
   friend bool operator==(const RoutingTable&, const RoutingTable&) = default;
--- a/camphorsail/runtime/gateway_daemon.cc
+++ b/camphorsail/runtime/gateway_daemon.cc
@@ -225,10 +225,11 @@
   message.channel = PeerChannel::kGatewayPoll;
   const MonoTime now = loop_.now();
   const uint64_t token = lease_.OnPoll(now);
-  message.payload = PackBytes(GatewayPoll{
-      token, table_version_, gateway_.fleet().TakeLoads(now), gateway_.Demand(),
-      gateway_.refusals().Take(token), gateway_.AdmissionStates(),
-      gateway_.QuarantineState(), TakeUsage(to, token)});
+  message.payload = PackBytes(
+      GatewayPoll{token, table_version_, gateway_.fleet().TakeLoads(now),
+                  gateway_.Demand(), gateway_.refusals().Take(token),
+                  gateway_.AdmissionStates(), gateway_.QuarantineState(),
+                  TakeUsage(to, token), gateway_.TakeAccountWork()});
   message.replaceable = true;
   peers_->Send(to, std::move(message));
 }
@@ -300,6 +301,7 @@
     gateway_.fleet().OnOtherGatewaysLoads(update.loads, loop_.now());
     gateway_.SetTotalDemand(update.demand);
     gateway_.OnAdmissionStates(update.admission);
+    gateway_.OnFleetAccountWork(update.accounts);
     gateway_.OnQuarantineUpdate(update.quarantine, update.confirmed);
   }
   if (update.confirmed && update.table_version <= table_version_) {
--- a/camphorsail/runtime/gateway_sessions.cc
+++ b/camphorsail/runtime/gateway_sessions.cc
@@ -58,6 +58,10 @@
     session.demand = poll.demand;
     session.admission = poll.admission;
     session.quarantine = poll.quarantine;
+    if (!poll.accounts.empty()) {
+      UpdateAccountWork(poll.accounts, &session.accounts);
+      session.accounts_at = hooks_.now();
+    }
     evidence_.Merge(poll.quarantine.crashes, hooks_.now());
     waiting_polls_[from] = poll;
     if (std::exchange(read_in_progress_, true)) {
@@ -115,6 +119,8 @@
     all.Add(own.loads);
     update.demand = own.demand;
     update.admission = own.admission;
+    AccountWorkSum accounts;
+    accounts.Add(OwnAccounts());
     evidence_.Expire(hooks_.now());
     update.quarantine.evidence_digest = evidence_.Digest();
     crashes = evidence_.Export(hooks_.now());
@@ -123,7 +129,9 @@
       all.Add(replica_load.load.loads);
       update.demand += replica_load.load.demand;
       MergeAdmissionStates(replica_load.load.admission, &update.admission);
+      accounts.Add(replica_load.load.accounts);
     }
+    update.accounts = accounts.List(kMaxSentAccounts);
   }
   if (!result) {
     LogEvent("gateway_polls_unconfirmed", LogLevel::kWarning)
@@ -150,6 +158,9 @@
       const auto session = sessions_.find(gateway);
       if (session != sessions_.end()) {
         AddTable(&session->second, &answer);
+        if (!answer.accounts.empty() && !TakeAccountsTurn(&session->second)) {
+          answer.accounts.clear();
+        }
       }
     }
     hooks_.send(gateway, answer);
@@ -163,13 +174,25 @@
   if (load.quarantine.evidence_digest != evidence_.Digest()) {
     share_evidence_until_ = now + kEvidenceShareTime;
   }
-  replica_loads_[replica] = {now, std::move(load)};
+  ReplicaLoad& known = replica_loads_[replica];
+  std::vector<ServiceAccountWork> accounts = std::move(known.load.accounts);
+  known.received_at = now;
+  known.load = std::move(load);
+  if (!known.load.accounts.empty()) {
+    known.accounts_at = now;
+  } else if (now - known.accounts_at < AccountShares::kFleetWorkLifetime) {
+    known.load.accounts = std::move(accounts);
+  }
 }
 
 GatewayGroupLoad GatewaySessions::GroupLoad() {
   absl::MutexLock lock(&mutex_);
   GatewayGroupLoad load = OwnLoad();
   const MonoTime now = hooks_.now();
+  if (now - accounts_shared_at_ >= AccountShares::kReportInterval) {
+    accounts_shared_at_ = now;
+    load.accounts = OwnAccounts();
+  }
   load.quarantine.evidence_digest = evidence_.Digest();
   if (now < share_evidence_until_) {
     load.quarantine.crashes = evidence_.Export(now);
@@ -316,8 +339,36 @@
   return true;
 }
 
+const std::vector<ServiceAccountWork>& GatewaySessions::OwnAccounts() {
+  const MonoTime now = hooks_.now();
+  if (now - own_accounts_at_ >= kAccountsSumInterval) {
+    own_accounts_at_ = now;
+    AccountWorkSum sum;
+    for (const auto& [vm, session] : sessions_) {
+      sum.Add(session.accounts);
+    }
+    own_accounts_ = sum.List(kMaxReplicaAccounts);
+  }
+  return own_accounts_;
+}
+
+bool GatewaySessions::TakeAccountsTurn(Session* session) {
+  const MonoTime now = hooks_.now();
+  if (now - session->accounts_sent_at < AccountShares::kReportInterval) {
+    return false;
+  }
+  session->accounts_sent_at = now;
+  return true;
+}
+
 void GatewaySessions::RemoveExpired() {
   const MonoTime oldest = hooks_.now() - kSessionLifetime;
+  for (auto& [vm, session] : sessions_) {
+    if (hooks_.now() - session.accounts_at >=
+        AccountShares::kFleetWorkLifetime) {
+      session.accounts.clear();
+    }
+  }
   std::erase_if(sessions_, [&](const auto& item) {
     return item.second.polled_at < oldest;
   });
--- a/camphorsail/runtime/gateway_sessions.h
+++ b/camphorsail/runtime/gateway_sessions.h
@@ -14,6 +14,7 @@
 #include "camphorsail/gateway/gateway_group_load.h"
 #include "camphorsail/gateway/gateway_poll.h"
 #include "camphorsail/gateway/gateway_update.h"
+#include "camphorsail/placement/account_shares.h"
 #include "camphorsail/quarantine/crash_evidence.h"
 #include "camphorsail/quarantine/quarantine_store.h"
 #include "camphorsail/routing/routing_history.h"
@@ -71,6 +72,10 @@
   /// large table takes several poll intervals on a slow link.
   static constexpr absl::Duration kTableResendInterval = absl::Seconds(1);
 
+  /// Adding up the accounts of hundreds of gateways takes about a millisecond.
+  static constexpr absl::Duration kAccountsSumInterval =
+      absl::Milliseconds(250);
+
   struct Session {
     MonoTime polled_at;
     /// Identifies the start of the gateway's process.
@@ -86,10 +91,18 @@
     EngineDemand demand;
     std::vector<ServiceAdmissionState> admission;
     QuarantineReport quarantine;
+    /// What the gateway has told about the accounts, when it last did, and when
+    /// it was last told the sums.
+    std::vector<ServiceAccountWork> accounts;
+    MonoTime accounts_at;
+    MonoTime accounts_sent_at;
   };
   struct ReplicaLoad {
     MonoTime received_at;
     GatewayGroupLoad load;
+    /// When `load.accounts` was received; a message without it leaves it as it
+    /// was.
+    MonoTime accounts_at;
   };
   /// The latest poll of each gateway.
   using Polls = std::map<VmId, GatewayPoll>;
@@ -100,6 +113,12 @@
                  const ControlNode& node);
   /// @return The load and the demand of the gateways that poll this replica.
   GatewayGroupLoad OwnLoad() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  /// @return Work of the accounts at the gateways that poll this replica, which
+  /// is added up every `kAccountsSumInterval`.
+  const std::vector<ServiceAccountWork>& OwnAccounts()
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  /// @return True when the gateway is to be told the work of the accounts now.
+  bool TakeAccountsTurn(Session* session) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void RemoveExpired() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   /// Calls a function with each report of a gateway or another replica.
   template <typename Function>
@@ -120,6 +139,11 @@
   std::map<VmId, Session> sessions_ ABSL_GUARDED_BY(mutex_);
   /// Load reported by each other replica.
   std::map<VmId, ReplicaLoad> replica_loads_ ABSL_GUARDED_BY(mutex_);
+  /// See `OwnAccounts`.
+  std::vector<ServiceAccountWork> own_accounts_ ABSL_GUARDED_BY(mutex_);
+  MonoTime own_accounts_at_ ABSL_GUARDED_BY(mutex_);
+  /// When the work of the accounts was last sent to the other replicas.
+  MonoTime accounts_shared_at_ ABSL_GUARDED_BY(mutex_);
   /// The evidence of all gateways.
   CrashEvidence evidence_ ABSL_GUARDED_BY(mutex_);
   /// Until then, the evidence is sent to the other replicas.
--- a/tests/unit/gateway_admission/gateway_admission_test.cc
+++ b/tests/unit/gateway_admission/gateway_admission_test.cc
@@ -193,5 +193,55 @@
   FAIL() << "no request was refused for more urgent ones";
 }
 
+/// A gateway whose table tells three accounts apart.
+class AccountAdmissionTest : public GatewayAdmissionTest {
+ protected:
+  void SetUp() override {
+    GatewayAdmissionTest::SetUp();
+    RoutingTable table;
+    table.version = 2;
+    table.services = {
+        {.name = ModelId("model"), .is_engine = true, .slots = slots_}};
+    AddRoute(&table, "/quick/", /*rank=*/0, /*objective_ms=*/300);
+    // So long that nothing is refused because of its own wait.
+    AddRoute(&table, "/bulk/", /*rank=*/1, /*objective_ms=*/60000);
+    for (Route& route : table.routes) {
+      route.is_public = false;
+    }
+    table.requires_api_keys = true;
+    for (const char* name : {"urgent", "large", "small"}) {
+      table.accounts.push_back({ClientAccountId(name), {name}, 0});
+    }
+    gateway_.SetTable(MakeRef<SharedRoutingTable>(table));
+  }
+};
+
+// Load pattern: one account sends many times what another does, while more
+// urgent requests are late. Guards against refusing both alike.
+TEST_F(AccountAdmissionTest, LargeAccountIsRefusedBeforeASmallOne) {
+  constexpr int kMaxRounds = 20;
+  constexpr int kLargePerSmall = 6;
+  int large_refused = 0;
+  for (int round = 0; round < kMaxRounds && large_refused < 2; ++round) {
+    for (int i = 0; i < 2 * slots_; ++i) {
+      EXPECT_TRUE(IsAdmitted("/quick/",
+                             absl::StrCat(kShortPrompt, "X-Key: urgent\r\n")));
+    }
+    for (int i = 0; i < kLargePerSmall; ++i) {
+      large_refused +=
+          IsAdmitted("/bulk/", absl::StrCat(kShortPrompt, "X-Key: large\r\n"))
+              ? 0
+              : 1;
+    }
+    EXPECT_TRUE(
+        IsAdmitted("/bulk/", absl::StrCat(kShortPrompt, "X-Key: small\r\n")));
+    driver_.RunFor(absl::Milliseconds(200));
+  }
+  EXPECT_GE(large_refused, 2);
+  const std::vector<ServiceAccountWork> work = gateway_.TakeAccountWork();
+  ASSERT_EQ(work.size(), 1U);
+  EXPECT_EQ(work[0].accounts.size(), 3U);
+}
+
 }  // namespace
 }  // namespace camphorsail
--- a/tests/unit/placement/account_division_test.cc
+++ b/tests/unit/placement/account_division_test.cc
@@ -34,7 +34,7 @@
   EXPECT_EQ(division.refused[0][kLow], 0);
   EXPECT_EQ(division.refused[1][kLow], 0);
   EXPECT_NEAR(division.refused[2][kLow], 0.6, 1e-6);
-  EXPECT_NEAR(division.share, 400, 1e-3);
+  EXPECT_NEAR(division.share[kLow], 400, 1e-3);
 }
 
 TEST(AccountDivisionTest, SharesFollowTheWeights) {
--- a/tests/unit/placement/account_shares_test.cc
+++ b/tests/unit/placement/account_shares_test.cc
@@ -48,8 +48,8 @@
   shares.Update(Closed(0.45), At(9));
   EXPECT_NEAR(shares.ClosedPart(kLarge, kUrgency), 0.5, 0.02);
   EXPECT_EQ(shares.ClosedPart(kSmall, kUrgency), 0);
-  EXPECT_TRUE(shares.StandingOf(kLarge, At(9)).IsAboveShare());
-  EXPECT_FALSE(shares.StandingOf(kSmall, At(9)).IsAboveShare());
+  EXPECT_LT(shares.StandingOf(kLarge, kUrgency, At(9)).served_ratio, 1);
+  EXPECT_GT(shares.StandingOf(kSmall, kUrgency, At(9)).served_ratio, 1);
 }
 
 // The part above the share is learned from what was refused as late, and
@@ -143,11 +143,11 @@
   std::vector<ServiceAccountWork> known;
   UpdateAccountWork({a}, &known);
   UpdateAccountWork({change}, &known);
-  std::vector<ServiceAccountWork> sum;
-  AddAccountWork(known, &sum);
-  AddAccountWork({a}, &sum);
+  AccountWorkSum total;
+  total.Add(known);
+  total.Add({a});
+  const std::vector<ServiceAccountWork> sum = total.List(/*max_accounts=*/1);
   ASSERT_EQ(sum.size(), 1U);
-  KeepLargest(1, &sum[0]);
   ASSERT_EQ(sum[0].accounts.size(), 1U);
   EXPECT_EQ(sum[0].accounts[0].account, kLarge);
   EXPECT_EQ(TotalWork(sum[0].accounts[0].work), 400U);
--- a/tests/unit/runtime/gateway_sessions_test.cc
+++ b/tests/unit/runtime/gateway_sessions_test.cc
@@ -153,6 +153,71 @@
   EXPECT_EQ(sent_[0].loads[0].in_flight, 2U);
 }
 
+/// @return A message of a gateway with one account.
+std::vector<ServiceAccountWork> AccountWorkOf(uint32_t work) {
+  std::vector<ServiceAccountWork> list(1);
+  list[0].service = 3;
+  list[0].is_complete = true;
+  list[0].accounts = {{AccountHash(7), {}}};
+  list[0].accounts[0].work.Add(Urgency(2), work);
+  return list;
+}
+
+// Without shortage nothing is sent; during one, the work at all gateways adds
+// up, over the replicas too, and is sent once a second.
+TEST_F(GatewayLoadsTest, WorkOfTheAccountsAddsUp) {
+  Poll("a", 1);
+  CompleteRead();
+  EXPECT_TRUE(sent_.back().accounts.empty());
+  EXPECT_TRUE(sessions_.GroupLoad().accounts.empty());
+
+  now_ = now_ + absl::Seconds(1);
+  GatewayPoll poll;
+  poll.token = kProcess + ++token_;
+  poll.accounts = AccountWorkOf(100);
+  sessions_.OnPoll(VmId("a"), poll);
+  GatewayGroupLoad other;
+  other.accounts = AccountWorkOf(20);
+  sessions_.OnGroupLoad(VmId("r2"), other);
+  // The next messages of the other replica come without it.
+  sessions_.OnGroupLoad(VmId("r2"), GatewayGroupLoad());
+  CompleteRead();
+  ASSERT_EQ(sent_.back().accounts.size(), 1U);
+  EXPECT_EQ(TotalWork(sent_.back().accounts[0].accounts[0].work), 120U);
+  ASSERT_EQ(sessions_.GroupLoad().accounts.size(), 1U);
+  EXPECT_TRUE(sessions_.GroupLoad().accounts.empty());
+
+  Poll("a", 1);
+  CompleteRead();
+  EXPECT_TRUE(sent_.back().accounts.empty());
+  for (int i = 0; i < 5; ++i) {
+    now_ = now_ + absl::Seconds(1);
+    Poll("a", 1);
+    CompleteRead();
+  }
+  EXPECT_TRUE(sent_.back().accounts.empty());
+}
+
+// A gateway and a replica of two releases: fields that the older one does not
+// know are left out, or ignored.
+TEST(GatewayMessagesTest, PollOfAnOlderGatewayIsRead) {
+  GatewayPoll poll;
+  poll.token = 5;
+  poll.accounts = AccountWorkOf(1);
+  msgpack::type::tuple<uint64_t, uint64_t> old(6, 9);
+  msgpack::sbuffer packed;
+  msgpack::pack(packed, old);
+  msgpack::unpack(packed.data(), packed.size()).get().convert(poll);
+  EXPECT_EQ(poll.token, 6U);
+  EXPECT_EQ(poll.table_version, 9U);
+
+  packed.clear();
+  poll.token = 7;
+  msgpack::pack(packed, poll);
+  msgpack::unpack(packed.data(), packed.size()).get().convert(old);
+  EXPECT_EQ(old.get<0>(), 7U);
+}
+
 /// Sessions of two replicas, one gateway each.
 class QuarantineSessionsTest : public GatewayLoadsTest {
  protected:
