--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -79,7 +79,8 @@
   void OnAdmissionStates(const std::vector<ServiceAdmissionState>& states);
   /// @return The work of the accounts at overloaded services that the replicas
   /// are to be told now.
-  std::vector<ServiceAccountWork> TakeAccountWork();
+  /// @param replica The replica that is told.
+  std::vector<ServiceAccountWork> TakeAccountWork(const VmId& replica);
   /// Takes the work of the accounts at all gateways together.
   void OnFleetAccountWork(const std::vector<ServiceAccountWork>& work);
   /// @return What the other gateways need to know about prompt parts that end
@@ -326,6 +327,8 @@
   AccountWeights account_weights_;
   /// False when the table does not tell several accounts apart.
   bool has_account_shares_ = false;
+  /// The replica that was told the work of the accounts last.
+  VmId account_work_replica_;
   MonoTime lease_valid_until_;
   int gateway_count_ = 1;
   bool draining_ = false;
--- a/camphorsail/gateway/gateway_admission.cc
+++ b/camphorsail/gateway/gateway_admission.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <string_view>
+#include <utility>
 
 #include "camphorsail/base/fnv_hash.h"
 #include "camphorsail/gateway/gateway.h"
@@ -134,7 +135,9 @@
   }
 }
 
-std::vector<ServiceAccountWork> Gateway::TakeAccountWork() {
+std::vector<ServiceAccountWork> Gateway::TakeAccountWork(const VmId& replica) {
+  const bool is_other =
+      std::exchange(account_work_replica_, replica) != replica;
   size_t overloaded = 0;
   for (const auto& [service, model] : models_) {
     overloaded += model.admission().IsRefusing(loop_->now()) ? 1 : 0;
@@ -145,6 +148,9 @@
   }
   for (auto& [service, model] : models_) {
     AdmissionGate& gate = model.admission();
+    if (is_other) {
+      gate.accounts().ReportAll();
+    }
     if (auto report = gate.accounts().TakeReport(
             gate.IsRefusing(loop_->now()),
             std::max<size_t>(1, kMaxSentAccounts / overloaded), loop_->now())) {
--- a/camphorsail/placement/account_shares.cc
+++ b/camphorsail/placement/account_shares.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 #include <numeric>
+#include <utility>
 #include <vector>
 
 namespace camphorsail {
@@ -14,13 +15,15 @@
 /// Part of the work below which refusals are not divided by account: an average
 /// that decays never becomes zero.
 constexpr double kLeastPart = 0.005;
+/// Part of the room that the shares leave open. The requests within the shares
+/// then do not fill the queue at the servers by chance, and those above them
+/// take what is left.
+constexpr double kMargin = 0.1;
 /// Least work of a request: while the speed of the engines is not known yet,
 /// the accounts are compared by their numbers of requests.
 constexpr double kLeastRequestMs = 1;
 /// An account with less work, in milliseconds per second, is forgotten.
 constexpr double kLeastWorkMs = 0.01;
-/// Relative change from which the work of an account is sent again.
-constexpr double kSentChange = 1.0 / 8;
 
 double Sum(const UrgencyFractions& amounts) {
   return std::accumulate(amounts.begin(), amounts.end(), 0.0);
@@ -48,7 +51,7 @@
 UrgencyFractions AccountShares::Decayed(const Work& work, MonoTime now) {
   UrgencyFractions amounts = work.amounts;
   const double factor =
-      std::exp(-absl::FDivDuration(now - work.at, kTimeConstant));
+      std::exp(-absl::FDivDuration(now - work.at, work.time_constant));
   for (double& amount : amounts) {
     amount *= factor;
   }
@@ -62,7 +65,7 @@
   work->amounts = Decayed(*work, now);
   work->at = now;
   work->amounts[urgency.value()] +=
-      work_ms / absl::ToDoubleSeconds(kTimeConstant);
+      work_ms / absl::ToDoubleSeconds(work->time_constant);
 }
 
 void AccountShares::OnArrival(AccountHash account,
@@ -80,7 +83,9 @@
 }
 
 void AccountShares::OnFleetWork(const ServiceAccountWork& work, MonoTime now) {
-  fleet_.clear();
+  if (work.is_complete || !IsFleetWorkRecent(now)) {
+    fleet_.clear();
+  }
   for (const AccountWork& entry : work.accounts) {
     fleet_[entry.account] = ToAmounts(entry.work);
   }
@@ -175,7 +180,8 @@
     }
     if (const double part = work > 0 ? late[level] / work : 0;
         part >= kLeastPart) {
-      total[level] = std::min(1.0, closed[level] + part);
+      total[level] =
+          1 - std::max(0.0, 1 - closed[level] - part) * (1 - kMargin);
     }
   }
   if (Sum(total) <= 0) {
@@ -251,35 +257,16 @@
                                                             size_t max_accounts,
                                                             MonoTime now) {
   if (!is_refusing) {
-    reported_at_.reset();
-    reports_until_complete_ = 0;
+    if (std::exchange(reported_at_, std::nullopt).has_value()) {
+      ReportAll();
+    }
     return std::nullopt;
   }
   if (reported_at_.has_value() && now - *reported_at_ < kReportInterval) {
     return std::nullopt;
   }
   reported_at_ = now;
-  ServiceAccountWork report = OwnWork(now);
-  KeepLargest(max_accounts, &report);
-  report.is_complete = reports_until_complete_ == 0;
-  if (report.is_complete) {
-    reports_until_complete_ = kCompleteReports;
-    reported_.clear();
-  }
-  --reports_until_complete_;
-  std::erase_if(report.accounts, [&](const AccountWork& entry) {
-    const auto sent = reported_.find(entry.account);
-    if (sent == reported_.end()) {
-      return false;
-    }
-    const auto before = static_cast<double>(TotalWork(sent->second));
-    return std::abs(static_cast<double>(TotalWork(entry.work)) - before) <=
-           kSentChange * before;
-  });
-  for (const AccountWork& entry : report.accounts) {
-    reported_[entry.account] = entry.work;
-  }
-  return report;
+  return reporter_.Next(OwnWork(now), max_accounts, now);
 }
 
 }  // namespace camphorsail
--- a/camphorsail/placement/account_shares.h
+++ b/camphorsail/placement/account_shares.h
@@ -11,6 +11,7 @@
 #include "camphorsail/base/urgency.h"
 #include "camphorsail/placement/account_division.h"
 #include "camphorsail/placement/account_hash.h"
+#include "camphorsail/placement/account_work_reporter.h"
 #include "camphorsail/placement/service_account_work.h"
 
 namespace camphorsail {
@@ -42,14 +43,14 @@
   /// Time constant of the average work. Short compared with a burst, and long
   /// enough for the work of one request to be small within it.
   static constexpr absl::Duration kTimeConstant = absl::Seconds(3);
+  /// Time constant of the average of what is refused. Shorter, because it is
+  /// one number for all accounts, and shares follow a burst sooner.
+  static constexpr absl::Duration kRefusedTimeConstant = absl::Seconds(3);
   /// Interval at which the shares are calculated anew while requests are
   /// refused.
   static constexpr absl::Duration kDivideInterval = absl::Milliseconds(250);
   /// Interval at which the work by account is sent while requests are refused.
   static constexpr absl::Duration kReportInterval = absl::Seconds(1);
-  /// Number of messages from one that is complete to the next. The others carry
-  /// only what has changed.
-  static constexpr int kCompleteReports = 4;
   /// Time for which the work at the other gateways is used. Long enough for a
   /// few messages to be lost.
   static constexpr absl::Duration kFleetWorkLifetime = absl::Seconds(4);
@@ -83,6 +84,8 @@
   /// overload.
   bool IsOverloaded(MonoTime now) const;
 
+  /// Tells everything anew, because another replica is told from now on.
+  void ReportAll() { reporter_ = AccountWorkReporter(); }
   /// @param is_refusing True while this or another gateway refuses requests.
   /// @param max_accounts Most accounts to list.
   /// @return What the replicas are to be told now, if anything.
@@ -93,6 +96,7 @@
  private:
   /// Averages of work, in milliseconds per second, at a time.
   struct Work {
+    absl::Duration time_constant = kTimeConstant;
     UrgencyFractions amounts{};
     MonoTime at;
   };
@@ -114,9 +118,10 @@
   ServiceAccountWork OwnWork(MonoTime now) const;
 
   absl::flat_hash_map<AccountHash, Work> own_;
-  Work refused_late_;
+  Work refused_late_{kRefusedTimeConstant, {}, {}};
   std::optional<MonoTime> refused_late_at_;
-  /// Work at all gateways, by account.
+  /// Work at all gateways, as far as the replicas have told it: the accounts,
+  /// and the rest of the last message.
   absl::flat_hash_map<AccountHash, UrgencyFractions> fleet_;
   ServiceAccountWork fleet_work_;
   std::optional<MonoTime> fleet_at_;
@@ -135,9 +140,7 @@
   UrgencyFractions refused_{};
 
   std::optional<MonoTime> reported_at_;
-  int reports_until_complete_ = 0;
-  /// What was sent since the last complete message.
-  absl::flat_hash_map<AccountHash, UrgencyCounts> reported_;
+  AccountWorkReporter reporter_;
 };
 
 }  // namespace camphorsail
--- a/camphorsail/placement/service_account_work.cc
+++ b/camphorsail/placement/service_account_work.cc
@@ -58,6 +58,9 @@
     }
     entry.accounts.insert(entry.accounts.end(), accounts.begin(),
                           accounts.end());
+    std::erase_if(entry.accounts, [](const AccountWork& account) {
+      return TotalWork(account.work) == 0;
+    });
   }
 }
 
@@ -74,8 +77,7 @@
   }
 }
 
-std::vector<ServiceAccountWork> AccountWorkSum::List(
-    size_t max_accounts) const {
+std::vector<ServiceAccountWork> AccountWorkSum::List() const {
   std::vector<ServiceAccountWork> list;
   for (const auto& [service, sum] : sums_) {
     ServiceAccountWork work;
@@ -87,7 +89,6 @@
     work.other_accounts = sum.other_accounts;
     work.other_work = sum.other_work;
     work.refused = sum.refused;
-    KeepLargest(std::max<size_t>(1, max_accounts / sums_.size()), &work);
     list.push_back(std::move(work));
   }
   return list;
--- a/camphorsail/placement/service_account_work.h
+++ b/camphorsail/placement/service_account_work.h
@@ -18,12 +18,12 @@
 struct ServiceAccountWork {
   /// Hash of the service's name, equal on all VMs.
   uint64_t service = 0;
-  /// False when `accounts` has only the entries that changed since the last
-  /// message.
+  /// False when `accounts` has only the entries that changed since earlier
+  /// messages; an account without work is to be removed.
   bool is_complete = false;
-  /// The accounts with the most work.
   std::vector<AccountWork> accounts;
-  /// Number and total work of the accounts that are not in the list.
+  /// Number and total work of the accounts that are not in the list, nor in
+  /// those of earlier messages.
   uint32_t other_accounts = 0;
   UrgencyCounts other_work;
   /// Work per second that is refused because its answer would come too late.
@@ -37,11 +37,14 @@
                  refused)
 };
 
-/// Most accounts that a gateway and a replica send each other in one message,
-/// over all services. See docs/design/account-shares.md for the bytes.
+/// Most accounts in one message between a gateway and a replica, over all
+/// services. See docs/design/account-shares.md for the bytes.
 inline constexpr size_t kMaxSentAccounts = 32;
-/// Most accounts of one service that replicas send each other in one message.
+/// Most accounts in one message between two replicas, over all services.
 inline constexpr size_t kMaxReplicaAccounts = 64;
+/// Most accounts of one service that a receiver is told one by one; the others
+/// are told as a group.
+inline constexpr size_t kMaxKnownAccounts = 128;
 
 /// @return Work of all urgencies together.
 uint64_t TotalWork(const UrgencyCounts& work);
@@ -59,9 +62,8 @@
 class AccountWorkSum {
  public:
   void Add(const std::vector<ServiceAccountWork>& added);
-  /// @param max_accounts Most accounts to list, over all services.
-  /// @return One entry for each service.
-  std::vector<ServiceAccountWork> List(size_t max_accounts) const;
+  /// @return One complete entry for each service.
+  std::vector<ServiceAccountWork> List() const;
 
  private:
   struct Sum {
--- a/camphorsail/runtime/gateway_daemon.cc
+++ b/camphorsail/runtime/gateway_daemon.cc
@@ -229,7 +229,7 @@
       GatewayPoll{token, table_version_, gateway_.fleet().TakeLoads(now),
                   gateway_.Demand(), gateway_.refusals().Take(token),
                   gateway_.AdmissionStates(), gateway_.QuarantineState(),
-                  TakeUsage(to, token), gateway_.TakeAccountWork()});
+                  TakeUsage(to, token), gateway_.TakeAccountWork(to)});
   message.replaceable = true;
   peers_->Send(to, std::move(message));
 }
--- a/camphorsail/runtime/gateway_sessions.cc
+++ b/camphorsail/runtime/gateway_sessions.cc
@@ -102,6 +102,7 @@
   GatewayServerLoadSum all;
   update.quarantine.list_version = node.state().quarantine().version();
   std::vector<CrashRecord> crashes;
+  std::vector<ServiceAccountWork> account_work;
   // What each gateway has in the sum. Its poll may be older, when it has polled
   // again since the read began.
   std::map<VmId, std::vector<GatewayServerLoad>> own_loads;
@@ -131,7 +132,7 @@
       MergeAdmissionStates(replica_load.load.admission, &update.admission);
       accounts.Add(replica_load.load.accounts);
     }
-    update.accounts = accounts.List(kMaxSentAccounts);
+    account_work = accounts.List();
   }
   if (!result) {
     LogEvent("gateway_polls_unconfirmed", LogLevel::kWarning)
@@ -158,8 +159,11 @@
       const auto session = sessions_.find(gateway);
       if (session != sessions_.end()) {
         AddTable(&session->second, &answer);
-        if (!answer.accounts.empty() && !TakeAccountsTurn(&session->second)) {
-          answer.accounts.clear();
+        if (hooks_.now() - session->second.accounts_sent_at >=
+            AccountShares::kReportInterval) {
+          session->second.accounts_sent_at = hooks_.now();
+          answer.accounts = NextAccountWork(account_work, kMaxSentAccounts,
+                                            &session->second.account_reports);
         }
       }
     }
@@ -176,13 +180,15 @@
   }
   ReplicaLoad& known = replica_loads_[replica];
   std::vector<ServiceAccountWork> accounts = std::move(known.load.accounts);
-  known.received_at = now;
-  known.load = std::move(load);
-  if (!known.load.accounts.empty()) {
+  if (!load.accounts.empty()) {
+    UpdateAccountWork(load.accounts, &accounts);
     known.accounts_at = now;
-  } else if (now - known.accounts_at < AccountShares::kFleetWorkLifetime) {
-    known.load.accounts = std::move(accounts);
+  } else if (now - known.accounts_at >= AccountShares::kFleetWorkLifetime) {
+    accounts.clear();
   }
+  known.received_at = now;
+  known.load = std::move(load);
+  known.load.accounts = std::move(accounts);
 }
 
 GatewayGroupLoad GatewaySessions::GroupLoad() {
@@ -191,7 +197,8 @@
   const MonoTime now = hooks_.now();
   if (now - accounts_shared_at_ >= AccountShares::kReportInterval) {
     accounts_shared_at_ = now;
-    load.accounts = OwnAccounts();
+    load.accounts =
+        NextAccountWork(OwnAccounts(), kMaxReplicaAccounts, &account_reports_);
   }
   load.quarantine.evidence_digest = evidence_.Digest();
   if (now < share_evidence_until_) {
@@ -347,18 +354,25 @@
     for (const auto& [vm, session] : sessions_) {
       sum.Add(session.accounts);
     }
-    own_accounts_ = sum.List(kMaxReplicaAccounts);
+    own_accounts_ = sum.List();
   }
   return own_accounts_;
 }
 
-bool GatewaySessions::TakeAccountsTurn(Session* session) {
-  const MonoTime now = hooks_.now();
-  if (now - session->accounts_sent_at < AccountShares::kReportInterval) {
-    return false;
+std::vector<ServiceAccountWork> GatewaySessions::NextAccountWork(
+    const std::vector<ServiceAccountWork>& work,
+    size_t max_accounts,
+    AccountWorkReports* reports) const {
+  std::vector<ServiceAccountWork> messages;
+  if (work.empty()) {
+    reports->clear();
   }
-  session->accounts_sent_at = now;
-  return true;
+  for (const ServiceAccountWork& of_service : work) {
+    messages.push_back((*reports)[of_service.service].Next(
+        of_service, std::max<size_t>(1, max_accounts / work.size()),
+        hooks_.now()));
+  }
+  return messages;
 }
 
 void GatewaySessions::RemoveExpired() {
--- a/camphorsail/runtime/gateway_sessions.h
+++ b/camphorsail/runtime/gateway_sessions.h
@@ -76,6 +76,9 @@
   static constexpr absl::Duration kAccountsSumInterval =
       absl::Milliseconds(250);
 
+  /// By service.
+  using AccountWorkReports = std::map<uint64_t, AccountWorkReporter>;
+
   struct Session {
     MonoTime polled_at;
     /// Identifies the start of the gateway's process.
@@ -96,6 +99,7 @@
     std::vector<ServiceAccountWork> accounts;
     MonoTime accounts_at;
     MonoTime accounts_sent_at;
+    AccountWorkReports account_reports;
   };
   struct ReplicaLoad {
     MonoTime received_at;
@@ -117,8 +121,12 @@
   /// is added up every `kAccountsSumInterval`.
   const std::vector<ServiceAccountWork>& OwnAccounts()
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-  /// @return True when the gateway is to be told the work of the accounts now.
-  bool TakeAccountsTurn(Session* session) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  /// @param work The work of all accounts.
+  /// @return What is to be told now.
+  std::vector<ServiceAccountWork> NextAccountWork(
+      const std::vector<ServiceAccountWork>& work,
+      size_t max_accounts,
+      AccountWorkReports* reports) const;
   void RemoveExpired() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   /// Calls a function with each report of a gateway or another replica.
   template <typename Function>
@@ -144,6 +152,7 @@
   MonoTime own_accounts_at_ ABSL_GUARDED_BY(mutex_);
   /// When the work of the accounts was last sent to the other replicas.
   MonoTime accounts_shared_at_ ABSL_GUARDED_BY(mutex_);
+  AccountWorkReports account_reports_ ABSL_GUARDED_BY(mutex_);
   /// The evidence of all gateways.
   CrashEvidence evidence_ ABSL_GUARDED_BY(mutex_);
   /// Until then, the evidence is sent to the other replicas.
