Gateways are ready with a view of the servers; shares in logs, metrics and explain

A gateway reported ready with a table and a lease although it knew no server, so that callers got only refusals from it after a restart of everything. It is ready now once it has known a server, or 3 s after its first table. The new test IsReadyOnlyWithAViewOfTheServers failed before the change.

Refusals for overload say what the account asked for and what it may have; explain names the cause account_above_share.

--- a/camphorsail/explain/request_cause.cc
+++ b/camphorsail/explain/request_cause.cc
@@ -20,6 +20,10 @@
 /// held up by its server.
 constexpr double kSlowAttempt = 2;
 
+/// An account of whose requests a smaller part is accepted than this, relative
+/// to all accounts, is refused more than others because of its share.
+constexpr double kAboveShareRatio = 0.95;
+
 constexpr std::array<std::string_view, 7> kLastEvents = {
     "request_answered", "request_refused", "caller_left",
     "request_complete", "request_refuse",  "request_caller_gone",
@@ -155,6 +159,17 @@
     if (code == "backend_timeout" || code == "deadline_unreachable") {
       return TimeOver(code);
     }
+    if (code == "overloaded" &&
+        last_->Number("served_ratio").value_or(1) < kAboveShareRatio) {
+      return {"account_above_share",
+              absl::StrCat("the service was overloaded, and account ",
+                           last_->Get("account"), " asked for ",
+                           last_->Get("account_work_ms"),
+                           " ms of work a second where its share was ",
+                           last_->Get("account_share_ms"),
+                           " ms: ", last_->Get("reason")),
+              With({last_}, Before("admission_changed"))};
+    }
     if (code == "overloaded") {
       return {code,
               absl::StrCat("the gateway refused the request after ", Age(),
--- a/camphorsail/gateway/backend_fleet.cc
+++ b/camphorsail/gateway/backend_fleet.cc
@@ -137,6 +137,7 @@
     server->wishes.OnLeaving();
   }
   servers_[view.server] = server;
+  has_had_servers_ = true;
   by_address_[announcement.description.address] = server;
   Servers& servers = by_service_[server->service];
   servers.insert(std::upper_bound(servers.begin(), servers.end(), server,
--- a/camphorsail/gateway/backend_fleet.h
+++ b/camphorsail/gateway/backend_fleet.h
@@ -39,6 +39,9 @@
   /// hash; empty when there are none.
   const Servers& ServersOf(const ModelId& service) const;
 
+  /// @return True once there has been a server that may get requests.
+  bool has_had_servers() const { return has_had_servers_; }
+
   /// @return The load of this gateway on each server where it has requests, or
   /// from which it had answers since the last call.
   std::vector<GatewayServerLoad> TakeLoads(MonoTime now);
@@ -66,6 +69,7 @@
   void Remove(const BackendServerId& id, MonoTime now);
 
   std::map<BackendServerId, Ref<BackendServer>> servers_;
+  bool has_had_servers_ = false;
   absl::flat_hash_map<ModelId, Servers> by_service_;
   /// The server with the highest incarnation at each address.
   absl::flat_hash_map<std::string, Ref<BackendServer>> by_address_;
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -23,6 +23,11 @@
 /// the placement, which has the same seed. ASCII "route".
 constexpr uint64_t kTargetChoiceSeedMask = 0x726f757465;
 
+/// Time from the first routing table after which a gateway that knows no server
+/// is ready nevertheless. All running servers have announced themselves to the
+/// replicas by then.
+constexpr absl::Duration kServerViewWait = absl::Seconds(3);
+
 constexpr char kMetricsPath[] = "/metrics";
 constexpr absl::Duration kHousekeepingInterval = absl::Seconds(1);
 /// Time after which a caller is asked to retry when the gateway had no memory
@@ -131,6 +136,9 @@
 }
 
 void Gateway::SetTable(const Ref<SharedRoutingTable>& table) {
+  if (!index_) {
+    first_table_at_ = loop_->now();
+  }
   index_ = MakeRef<RouteIndex>(table);
   index_since_ = loop_->now();
   fleet_.SetServices(table->table.services, loop_->now());
@@ -146,7 +154,9 @@
 }
 
 bool Gateway::IsReady() const {
-  return !draining_ && index_ && IsLeaseValid();
+  return !draining_ && index_ && IsLeaseValid() &&
+         (fleet_.has_had_servers() ||
+          loop_->now() - first_table_at_ >= kServerViewWait);
 }
 
 void Gateway::BeginDrain(absl::Duration admission_time) {
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -122,7 +122,9 @@
   /// answers so far.
   bool AreAnswersTaken() const { return callers_->untaken_answers() == 0; }
   /// @return True while the gateway has a routing table with a valid lease and
-  /// is not draining.
+  /// is not draining, once it has known a server or has waited for one for
+  /// `kServerViewWait`. Later it stays ready without servers: no other gateway
+  /// has any either, and callers are told when to come back.
   bool IsReady() const;
 
   /// Ports that the listeners are bound to.
@@ -323,6 +325,8 @@
   /// The routing table in use; null until there is one.
   Ref<RouteIndex> index_;
   MonoTime index_since_;
+  /// When the first table was put into use.
+  MonoTime first_table_at_;
   /// Weights of the accounts in the table.
   AccountWeights account_weights_;
   /// False when the table does not tell several accounts apart.
--- a/camphorsail/gateway/gateway_telemetry.cc
+++ b/camphorsail/gateway/gateway_telemetry.cc
@@ -1,5 +1,7 @@
 #include "camphorsail/gateway/gateway_telemetry.h"
 
+#include <cmath>
+
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "camphorsail/process/log_event.h"
@@ -61,6 +63,11 @@
   if (check.least_urgent_start.has_value()) {
     event->Add("least_urgent_start", check.least_urgent_start->value());
   }
+  if (check.standing.has_value() && std::isfinite(check.standing->share_ms)) {
+    event->Add("account_work_ms", check.standing->work_ms)
+        .Add("account_share_ms", check.standing->share_ms)
+        .Add("served_ratio", check.standing->served_ratio);
+  }
 }
 
 }  // namespace
@@ -91,6 +98,12 @@
                          "Servers on which attempts broke off, by whether they "
                          "had ended.",
                          {"state"}});
+  overload_refusals_ = metrics_->Declare(
+      {"camphorsail_gateway_overload_refusals_total",
+       MetricKind::kCounter,
+       "Requests refused because of overload, by whether their account was "
+       "above its share.",
+       {"service", "account"}});
   first_answer_time_ =
       metrics_->Declare({"camphorsail_gateway_first_answer_seconds",
                          MetricKind::kLatency,
@@ -156,6 +169,13 @@
     DescribeJudgement(exchange, &event);
   }
   if (exchange.refused_by.has_value()) {
+    const std::optional<AccountShares::Standing>& standing =
+        exchange.refused_by->standing;
+    metrics_->Increment(
+        overload_refusals_,
+        {exchange.service->name.value(),
+         standing.has_value() && standing->served_ratio < 1 ? "above_share"
+                                                            : "shared"});
     event.Add("urgency", exchange.placement.urgency.value())
         .Add("caller_timeout_ms",
              absl::ToInt64Milliseconds(exchange.request.caller_timeout));
--- a/camphorsail/gateway/gateway_telemetry.h
+++ b/camphorsail/gateway/gateway_telemetry.h
@@ -52,6 +52,7 @@
   MetricId requests_;
   MetricId attempts_;
   MetricId broken_servers_;
+  MetricId overload_refusals_;
   MetricId first_answer_time_;
   MetricId answer_time_;
 };
--- a/camphorsail/process/log_schema.h
+++ b/camphorsail/process/log_schema.h
@@ -224,6 +224,11 @@
 /// `time`, `level`, `vm`, `clock` and `event`.
 inline constexpr auto kLogFields = std::to_array<LogFieldSpec>({
     {"account", "Client account."},
+    {"account_share_ms",
+     "Engine time per second that the account may have before its requests are "
+     "refused, in milliseconds."},
+    {"account_work_ms",
+     "Engine time per second that the account asks for, in milliseconds."},
     {"accounts", "Number of client accounts."},
     {"address", "IP address and port."},
     {"age_ms", "Time since the request arrived at this process."},
@@ -346,6 +351,9 @@
     {"running", "Whether an attempt was running."},
     {"runs", "Attempts that a server may have run."},
     {"sequence", "Number of the server's announcement."},
+    {"served_ratio",
+     "Accepted part of the account's requests of the urgency, relative to that "
+     "of all accounts; below 1 when the account is above its share."},
     {"server", "Backend server."},
     {"service", "Service of the server."},
     {"signal", "Number of the signal."},
--- a/tests/fakes/placement/crowded_service.h
+++ b/tests/fakes/placement/crowded_service.h
@@ -31,7 +31,9 @@
   };
 
   CrowdedService(const Settings& settings, uint64_t seed)
-      : settings_(settings), random_(seed), gates_(settings.gateways) {}
+      : settings_(settings), random_(seed), gates_(settings.gateways) {
+    started_.fill(kNever);
+  }
 
   static MonoTime At(double seconds) {
     return MonoTime() + absl::Seconds(1000 + seconds);
@@ -98,6 +100,7 @@
 
  private:
   static constexpr double kTalkSeconds = 0.25;
+  static constexpr double kNever = -1000;
   /// Wait below which a server has a free slot.
   static constexpr absl::Duration kSlotWait = absl::Milliseconds(20);
 
--- a/tests/unit/explain/request_cause_test.cc
+++ b/tests/unit/explain/request_cause_test.cc
@@ -110,6 +110,19 @@
               "stood still", "request_refused");
 }
 
+// Guards against blaming the servers for the refusals of an account that sends
+// many times its usual.
+TEST(RequestCauseTest, AccountAboveItsShare) {
+  const std::string refused =
+      "request_refused request=r1 code=overloaded account=large "
+      "account_work_ms=900 account_share_ms=100 served_ratio=";
+  ExpectCause({At(500, "g1", refused + "0.25 reason=late")},
+              "account_above_share", "account large asked for 900 ms",
+              "request_refused");
+  ExpectCause({At(500, "g1", refused + "1.2 reason=late")}, "overloaded",
+              "late", "request_refused");
+}
+
 TEST(RequestCauseTest, KeyThatAnOlderTableLacks) {
   const std::string refused =
       At(500, "g1",
--- a/tests/unit/gateway/gateway_test.cc
+++ b/tests/unit/gateway/gateway_test.cc
@@ -171,6 +171,41 @@
   EXPECT_TRUE(NoFurtherAttempt());
 }
 
+// Load pattern: the whole fleet comes back at once. Guards against a gateway
+// that gets callers although it refuses all of them, because it knows no server
+// yet.
+TEST_F(GatewayTest, IsReadyOnlyWithAViewOfTheServers) {
+  Gateway gateway(Settings(), MakeTestDialect(), &driver_.loop, &metrics_);
+  RoutingTable table;
+  table.version = 1;
+  table.services = {{.name = ModelId("svc")}};
+  gateway.SetTable(MakeRef<SharedRoutingTable>(table));
+  gateway.SetLease(MonoTime::Infinite());
+  EXPECT_FALSE(gateway.IsReady());
+
+  ServerRegistry registry({});
+  ServerAnnouncement announcement;
+  announcement.server = BackendServerId("s");
+  announcement.version = {Incarnation(1), AnnouncementSequence(1)};
+  announcement.description.address = "127.0.0.1:9";
+  announcement.description.kind = ServerKind::kService;
+  announcement.description.targets = {ModelId("svc")};
+  ASSERT_TRUE(registry.OnAnnouncement(announcement, driver_.loop.now()));
+  gateway.fleet().Apply(registry.TakeChanges(driver_.loop.now()), registry,
+                        driver_.loop.now());
+  EXPECT_TRUE(gateway.IsReady());
+
+  // A gateway whose servers have all gone must stay: it tells callers when to
+  // come back, and no other gateway has servers either.
+  announcement.version = {Incarnation(1), AnnouncementSequence(2)};
+  announcement.leaving = true;
+  ASSERT_TRUE(registry.OnAnnouncement(announcement, driver_.loop.now()));
+  gateway.fleet().Apply(registry.TakeChanges(driver_.loop.now()), registry,
+                        driver_.loop.now());
+  EXPECT_TRUE(gateway.fleet().ServersOf(ModelId("svc")).empty());
+  EXPECT_TRUE(gateway.IsReady());
+}
+
 // Guards against a gateway that serves requests by a routing table that may
 // have been replaced.
 TEST_F(GatewayTest, RefusesWithoutALease) {
--- a/tests/unit/placement/account_patterns_test.cc
+++ b/tests/unit/placement/account_patterns_test.cc
@@ -241,6 +241,20 @@
   ExpectRules(Play(pattern));
 }
 
+// Gateways without any history, before all callers at once: the urgent requests
+// are served first from the beginning.
+TEST_P(AccountPatternTest, FleetComesBackAtOnce) {
+  Pattern pattern = Usual();
+  pattern.quiet = 0;
+  pattern.length = 8;
+  pattern.usual_load = 3;
+  pattern.urgent_part = 0.2;
+  pattern.impatient_part = 1;
+  const Result result = Play(pattern);
+  ExpectRules(result);
+  EXPECT_GE(result.served_urgent, 0.97);
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes,
                          AccountPatternTest,
                          testing::Values(Size{1, 24, 10'000},
