--- a/camphorsail/placement/account_shares.cc
+++ b/camphorsail/placement/account_shares.cc
@@ -207,11 +207,11 @@
 }
 
 const AccountShares::Parts& AccountShares::PartsOf(AccountHash account) const {
-  static const Parts kNone;
+  static const Parts none;
   const auto found = parts_.find(account);
   return found != parts_.end() ? found->second
          : has_other_parts_    ? other_parts_
-                               : kNone;
+                               : none;
 }
 
 double AccountShares::ClosedPart(AccountHash account, Urgency urgency) const {
--- a/camphorsail/runtime/gateway_sessions.cc
+++ b/camphorsail/runtime/gateway_sessions.cc
@@ -364,6 +364,7 @@
     size_t max_accounts,
     AccountWorkReports* reports) const {
   std::vector<ServiceAccountWork> messages;
+  messages.reserve(work.size());
   if (work.empty()) {
     reports->clear();
   }
--- a/tests/unit/routing/routing_table_test.cc
+++ b/tests/unit/routing/routing_table_test.cc
@@ -62,6 +62,8 @@
   expect_invalid("key of two accounts", [](RoutingTable* table) {
     table->accounts[1].api_keys = {"k1"};
   });
+  expect_invalid("account without weight",
+                 [](RoutingTable* table) { table->accounts[0].weight = 0; });
   expect_invalid("service twice", [](RoutingTable* table) {
     table->services.push_back(table->services[0]);
   });
