--- a/camphorsail/gateway/gateway_telemetry.h
+++ b/camphorsail/gateway/gateway_telemetry.h
@@ -55,6 +55,7 @@
   MetricId attempts_;
   MetricId broken_servers_;
   MetricId odd_load_reports_;
+  MetricId overload_refusals_;
   MetricId first_answer_time_;
   MetricId answer_time_;
 };
--- a/camphorsail/runtime/gateway_sessions.cc
+++ b/camphorsail/runtime/gateway_sessions.cc
@@ -58,6 +58,10 @@
     session.demand = poll.demand;
     session.admission = poll.admission;
     session.quarantine = poll.quarantine;
+    if (!poll.accounts.empty()) {
+      UpdateAccountWork(poll.accounts, &session.accounts);
+      session.accounts_at = hooks_.now();
+    }
     evidence_.Merge(poll.quarantine.crashes, hooks_.now());
     waiting_polls_[from] = poll;
     if (std::exchange(read_in_progress_, true)) {
@@ -98,6 +102,7 @@
   GatewayServerLoadSum all;
   update.quarantine.list_version = node.state().quarantine().version();
   std::vector<CrashRecord> crashes;
+  std::vector<ServiceAccountWork> account_work;
   // What each gateway has in the sum. Its poll may be older, when it has polled
   // again since the read began.
   std::map<VmId, std::vector<GatewayServerLoad>> own_loads;
@@ -115,6 +120,8 @@
     all.Add(own.loads);
     update.demand = own.demand;
     update.admission = own.admission;
+    AccountWorkSum accounts;
+    accounts.Add(OwnAccounts());
     evidence_.Expire(hooks_.now());
     update.quarantine.evidence_digest = evidence_.Digest();
     crashes = evidence_.Export(hooks_.now());
@@ -123,7 +130,9 @@
       all.Add(replica_load.load.loads);
       update.demand += replica_load.load.demand;
       MergeAdmissionStates(replica_load.load.admission, &update.admission);
+      accounts.Add(replica_load.load.accounts);
     }
+    account_work = accounts.List();
   }
   if (!result) {
     LogEvent("gateway_polls_unconfirmed", LogLevel::kWarning)
@@ -150,6 +159,12 @@
       const auto session = sessions_.find(gateway);
       if (session != sessions_.end()) {
         AddTable(&session->second, &answer);
+        if (hooks_.now() - session->second.accounts_sent_at >=
+            AccountShares::kReportInterval) {
+          session->second.accounts_sent_at = hooks_.now();
+          answer.accounts = NextAccountWork(account_work, kMaxSentAccounts,
+                                            &session->second.account_reports);
+        }
       }
     }
     hooks_.send(gateway, answer);
@@ -163,13 +178,28 @@
   if (load.quarantine.evidence_digest != evidence_.Digest()) {
     share_evidence_until_ = now + kEvidenceShareTime;
   }
-  replica_loads_[replica] = {now, std::move(load)};
+  ReplicaLoad& known = replica_loads_[replica];
+  std::vector<ServiceAccountWork> accounts = std::move(known.load.accounts);
+  if (!load.accounts.empty()) {
+    UpdateAccountWork(load.accounts, &accounts);
+    known.accounts_at = now;
+  } else if (now - known.accounts_at >= AccountShares::kFleetWorkLifetime) {
+    accounts.clear();
+  }
+  known.received_at = now;
+  known.load = std::move(load);
+  known.load.accounts = std::move(accounts);
 }
 
 GatewayGroupLoad GatewaySessions::GroupLoad() {
   absl::MutexLock lock(&mutex_);
   GatewayGroupLoad load = OwnLoad();
   const MonoTime now = hooks_.now();
+  if (now - accounts_shared_at_ >= AccountShares::kReportInterval) {
+    accounts_shared_at_ = now;
+    load.accounts =
+        NextAccountWork(OwnAccounts(), kMaxReplicaAccounts, &account_reports_);
+  }
   load.quarantine.evidence_digest = evidence_.Digest();
   if (now < share_evidence_until_) {
     load.quarantine.crashes = evidence_.Export(now);
@@ -316,8 +346,44 @@
   return true;
 }
 
+const std::vector<ServiceAccountWork>& GatewaySessions::OwnAccounts() {
+  const MonoTime now = hooks_.now();
+  if (now - own_accounts_at_ >= kAccountsSumInterval) {
+    own_accounts_at_ = now;
+    AccountWorkSum sum;
+    for (const auto& [vm, session] : sessions_) {
+      sum.Add(session.accounts);
+    }
+    own_accounts_ = sum.List();
+  }
+  return own_accounts_;
+}
+
+std::vector<ServiceAccountWork> GatewaySessions::NextAccountWork(
+    const std::vector<ServiceAccountWork>& work,
+    size_t max_accounts,
+    AccountWorkReports* reports) const {
+  std::vector<ServiceAccountWork> messages;
+  messages.reserve(work.size());
+  if (work.empty()) {
+    reports->clear();
+  }
+  for (const ServiceAccountWork& of_service : work) {
+    messages.push_back((*reports)[of_service.service].Next(
+        of_service, std::max<size_t>(1, max_accounts / work.size()),
+        hooks_.now()));
+  }
+  return messages;
+}
+
 void GatewaySessions::RemoveExpired() {
   const MonoTime oldest = hooks_.now() - kSessionLifetime;
+  for (auto& [vm, session] : sessions_) {
+    if (hooks_.now() - session.accounts_at >=
+        AccountShares::kFleetWorkLifetime) {
+      session.accounts.clear();
+    }
+  }
   std::erase_if(sessions_, [&](const auto& item) {
     return item.second.polled_at < oldest;
   });
--- a/camphorsail/runtime/gateway_sessions.h
+++ b/camphorsail/runtime/gateway_sessions.h
@@ -14,6 +14,7 @@
 #include "camphorsail/gateway/gateway_group_load.h"
 #include "camphorsail/gateway/gateway_poll.h"
 #include "camphorsail/gateway/gateway_update.h"
+#include "camphorsail/placement/account_shares.h"
 #include "camphorsail/quarantine/crash_evidence.h"
 #include "camphorsail/quarantine/quarantine_store.h"
 #include "camphorsail/routing/routing_history.h"
@@ -71,6 +72,13 @@
   /// large table takes several poll intervals on a slow link.
   static constexpr absl::Duration kTableResendInterval = absl::Seconds(1);
 
+  /// Adding up the accounts of hundreds of gateways takes about a millisecond.
+  static constexpr absl::Duration kAccountsSumInterval =
+      absl::Milliseconds(250);
+
+  /// By service.
+  using AccountWorkReports = std::map<uint64_t, AccountWorkReporter>;
+
   struct Session {
     MonoTime polled_at;
     /// Identifies the start of the gateway's process.
@@ -86,10 +94,19 @@
     EngineDemand demand;
     std::vector<ServiceAdmissionState> admission;
     QuarantineReport quarantine;
+    /// What the gateway has told about the accounts, when it last did, and when
+    /// it was last told the sums.
+    std::vector<ServiceAccountWork> accounts;
+    MonoTime accounts_at;
+    MonoTime accounts_sent_at;
+    AccountWorkReports account_reports;
   };
   struct ReplicaLoad {
     MonoTime received_at;
     GatewayGroupLoad load;
+    /// When `load.accounts` was received; a message without it leaves it as it
+    /// was.
+    MonoTime accounts_at;
   };
   /// The latest poll of each gateway.
   using Polls = std::map<VmId, GatewayPoll>;
@@ -100,6 +117,16 @@
                  const ControlNode& node);
   /// @return The load and the demand of the gateways that poll this replica.
   GatewayGroupLoad OwnLoad() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  /// @return Work of the accounts at the gateways that poll this replica, which
+  /// is added up every `kAccountsSumInterval`.
+  const std::vector<ServiceAccountWork>& OwnAccounts()
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  /// @param work The work of all accounts.
+  /// @return What is to be told now.
+  std::vector<ServiceAccountWork> NextAccountWork(
+      const std::vector<ServiceAccountWork>& work,
+      size_t max_accounts,
+      AccountWorkReports* reports) const;
   void RemoveExpired() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   /// Calls a function with each report of a gateway or another replica.
   template <typename Function>
@@ -120,6 +147,12 @@
   std::map<VmId, Session> sessions_ ABSL_GUARDED_BY(mutex_);
   /// Load reported by each other replica.
   std::map<VmId, ReplicaLoad> replica_loads_ ABSL_GUARDED_BY(mutex_);
+  /// See `OwnAccounts`.
+  std::vector<ServiceAccountWork> own_accounts_ ABSL_GUARDED_BY(mutex_);
+  MonoTime own_accounts_at_ ABSL_GUARDED_BY(mutex_);
+  /// When the work of the accounts was last sent to the other replicas.
+  MonoTime accounts_shared_at_ ABSL_GUARDED_BY(mutex_);
+  AccountWorkReports account_reports_ ABSL_GUARDED_BY(mutex_);
   /// The evidence of all gateways.
   CrashEvidence evidence_ ABSL_GUARDED_BY(mutex_);
   /// Until then, the evidence is sent to the other replicas.
