--- a/camphorsail/process/log_schema.h
+++ b/camphorsail/process/log_schema.h
@@ -315,11 +315,11 @@
     {"operator", "Name that the operator gave."},
     {"operators_port", "Port for operators."},
     {"outcome", "Outcome of a call: conflict, rejected, not_sent or unknown."},
-    {"part_hashes",
-     "Hashes of the suspected or quarantined parts of the prompt."},
     {"pace_limit",
      "Requests that all gateways together may have on the paced server."},
     {"paced_ms", "Time from the begin to the end of the server's pace."},
+    {"part_hashes",
+     "Hashes of the suspected or quarantined parts of the prompt."},
     {"parts",
      "Ids of the parts of the prompt that other requests may share, in their "
      "order."},
