camphorsailctl: config check, a check of a routing document before it is sent

Operators learned of a mistake only when the document was refused, or not at all when an entry had no effect: a route whose host has a port never matches, a traffic split of weight 0 gets nothing, more attempts than the kind of a route allows are never made.

The command parses the document with the code that accepts it (platform::ParseRoutingDocument) and adds warnings of a review of the valid table, and what changes against a file or the document in force. No check of attempts against the retry budget, and none of a scaling minimum above what is needed to start: a table says neither.

--- a/camphorsail/gateway/gateway_answer.cc
+++ b/camphorsail/gateway/gateway_answer.cc
@@ -14,9 +14,6 @@
 
 /// HTTP status of an answer that is streamed event by event.
 constexpr int kStreamStatus = 200;
-/// Maximum number of attempts of one request, including attempts that did not
-/// reach a server.
-constexpr int kMaxAttempts = 4;
 /// A stream that may be resumed on another server is resumed there when no
 /// event has arrived for this multiple of the event gap of its route.
 constexpr double kEventGapFactor = 3;
--- a/camphorsail/routing/route.h
+++ b/camphorsail/routing/route.h
@@ -11,6 +11,10 @@
 
 namespace camphorsail {
 
+/// Maximum number of attempts of one request, including attempts that did not
+/// reach a server.
+inline constexpr int kMaxAttempts = 4;
+
 /// One of the services to which a route's requests are distributed.
 struct RouteTarget {
   /// Name of a `ServiceProfile`.
--- a/ctl/command.h
+++ b/ctl/command.h
@@ -31,6 +31,7 @@
   kDrain,
   kExplain,
   kLogEvents,
+  kConfigCheck,
 };
 
 /// @return True for a command that reads files only and calls no VM.
@@ -56,8 +57,10 @@
   std::vector<std::pair<std::string, std::string>> values;
   /// Keys of `unset`.
   std::vector<std::string> keys;
-  /// Contents of the file given to `apply` or `diff`.
+  /// Contents of the file given to `apply`, `diff` or `config check`.
   std::string file_text;
+  /// Contents of the file that `config check` compares with, if given.
+  std::optional<std::string> against_text;
   /// Settings version that a change is based on, if given.
   std::optional<uint64_t> base_version;
   /// Id of the change; random unless given.
--- a/ctl/command_table.cc
+++ b/ctl/command_table.cc
@@ -138,6 +138,15 @@
        "Print the log lines of one request from the logs of several processes "
        "(default: standard input); the last line states the cause of its "
        "outcome."},
+      {CommandKind::kConfigCheck,
+       {"config", "check"},
+       "FILE",
+       1,
+       1,
+       {"against"},
+       "Check a routing document before it is sent, and print what it changes: "
+       "against another file, or against the document in force at --admin, the "
+       "address that takes the documents. Exit code 3: warnings only."},
       {CommandKind::kLogEvents,
        {"log-events"},
        "",
--- a/ctl/exit_code.h
+++ b/ctl/exit_code.h
@@ -9,6 +9,8 @@
 constexpr int kExitUsage = 2;
 /// Another change was accepted first; read the settings again.
 constexpr int kExitConflict = 3;
+/// A checked document is valid, but has entries without the intended effect.
+constexpr int kExitWarnings = 3;
 /// The VM or the fleet is currently unable to serve the request.
 constexpr int kExitNotReady = 4;
 
--- a/ctl/parse_command.cc
+++ b/ctl/parse_command.cc
@@ -53,6 +53,7 @@
           {"around",
            "Also print state changes within this duration before and after "
            "the request, such as 2s"},
+          {"against", "File with the routing document to compare with"},
           {"limit", "Maximum number of entries, 1 to 10000"}};
   return *flags;
 }
@@ -76,7 +77,8 @@
       "  --explain\n      Print the path that each value comes from\n"
       "  --json\n      Print JSON instead of tables\n"
       "  --help, --version\n\n"
-      "Exit codes: 0 success, 1 failure, 2 usage, 3 conflict, 4 not ready.\n";
+      "Exit codes: 0 success, 1 failure, 2 usage, 3 conflict (config check: "
+      "warnings only), 4 not ready.\n";
   return text;
 }
 
@@ -255,6 +257,37 @@
   return {it == environment.end() ? "" : it->second, variable};
 }
 
+/// Sets the address of the VM.
+/// @param url The address and where it was given.
+void SetAddress(const SourcedText& url, Command* command, UsageError* error) {
+  if (!absl::StartsWith(url.text, "http://") &&
+      !absl::StartsWith(url.text, "https://")) {
+    error->Set(absl::StrCat(url.source, ": ", url.text,
+                            " is not allowed; allowed: an http or https URL"));
+  }
+  command->admin_url = url.text;
+  while (absl::EndsWith(command->admin_url, "/")) {
+    command->admin_url.pop_back();
+  }
+}
+
+/// Sets what `config check` compares the document with.
+void SetComparison(const RawCommand& raw,
+                   const std::map<std::string, std::string>& environment,
+                   Command* command,
+                   UsageError* error) {
+  const auto against = raw.flags.find("against");
+  if (against != raw.flags.end()) {
+    command->against_text = ReadFile(against->second, "--against", error);
+    return;
+  }
+  const SourcedText url =
+      FlagOrVariable(raw, environment, "admin", "CAMPHORSAIL_ADMIN");
+  if (!url.text.empty()) {
+    SetAddress(url, command, error);
+  }
+}
+
 void SetConnection(const RawCommand& raw,
                    const std::map<std::string, std::string>& environment,
                    Command* command,
@@ -264,15 +297,7 @@
   if (url.text.empty()) {
     url.text = "http://127.0.0.1:8082";
   }
-  if (!absl::StartsWith(url.text, "http://") &&
-      !absl::StartsWith(url.text, "https://")) {
-    error->Set(absl::StrCat(url.source, ": ", url.text,
-                            " is not allowed; allowed: an http or https URL"));
-  }
-  while (absl::EndsWith(url.text, "/")) {
-    url.text.pop_back();
-  }
-  command->admin_url = url.text;
+  SetAddress(url, command, error);
   const SourcedText file = FlagOrVariable(raw, environment, "secret-file",
                                           "CAMPHORSAIL_ADMIN_SECRET_FILE");
   if (file.text.empty()) {
@@ -370,6 +395,7 @@
       break;
     case CommandKind::kSettingsApply:
     case CommandKind::kSettingsDiff:
+    case CommandKind::kConfigCheck:
       command->file_text = ReadFile(operands[0], "FILE", error);
       break;
     case CommandKind::kEnginesSet:
@@ -470,6 +496,10 @@
   if (IsLocalCommand(spec->kind)) {
     return command;
   }
+  if (spec->kind == CommandKind::kConfigCheck) {
+    SetComparison(raw, environment, &command, error);
+    return command;
+  }
   SetChange(raw, environment, &command, error);
   SetConnection(raw, environment, &command, error);
   return command;
--- a/ctl/render.cc
+++ b/ctl/render.cc
@@ -264,6 +264,7 @@
     case CommandKind::kRefusedMinutes:
     case CommandKind::kExplain:
     case CommandKind::kLogEvents:
+    case CommandKind::kConfigCheck:
       break;
   }
   return absl::StrCat(
--- a/ctl/run_command.cc
+++ b/ctl/run_command.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "ctl/check_config.h"
 #include "ctl/exit_code.h"
 #include "ctl/render.h"
 #include "ctl/settings_edits.h"
@@ -101,6 +102,9 @@
       case CommandKind::kDrain:
         RunDrain();
         break;
+      case CommandKind::kConfigCheck:
+        result_ = CheckConfig(command_, context_.call);
+        break;
       case CommandKind::kExplain:
       case CommandKind::kLogEvents:
         // `main` executes these; they call no VM.
--- a/ctl/run_command.h
+++ b/ctl/run_command.h
@@ -7,6 +7,7 @@
 #include "absl/time/time.h"
 #include "ctl/admin_exchange.h"
 #include "ctl/command.h"
+#include "ctl/command_result.h"
 
 namespace camphorsail::ctl {
 
@@ -20,15 +21,6 @@
   std::function<void(const std::string&)> report;
 };
 
-/// The output and the exit code of a command.
-struct CommandResult {
-  int exit_code = 0;
-  /// Text for standard output.
-  std::string output;
-  /// Text for standard error.
-  std::string errors;
-};
-
 /// Executes a command.
 ///
 /// A change whose outcome is unknown is sent again with the same change id, at
--- a/tests/unit/ctl/parse_command_test.cc
+++ b/tests/unit/ctl/parse_command_test.cc
@@ -27,6 +27,24 @@
   return ParseCommand(words, environment, kNow);
 }
 
+// The check of a document must neither need a credential nor call a VM that was
+// not named.
+TEST(ParseCommandTest, ConfigCheckCallsOnlyANamedVm) {
+  const std::string file = WriteFile("document", "{}");
+  const auto parse = [&](std::vector<std::string> words) {
+    words.insert(words.begin(), {"camphorsailctl", "config", "check", file});
+    return ParseCommand(words, {}, kNow);
+  };
+  ASSERT_TRUE(parse({}).command);
+  EXPECT_EQ(parse({}).command->file_text, "{}");
+  EXPECT_EQ(parse({}).command->admin_url, "");
+  EXPECT_FALSE(parse({}).command->against_text.has_value());
+  EXPECT_EQ(parse({"--admin", "http://vm/"}).command->admin_url, "http://vm");
+  EXPECT_EQ(parse({"--against", file}).command->against_text, "{}");
+  EXPECT_EQ(parse({"--against", file + ".none"}).exit_code, kExitUsage);
+  EXPECT_EQ(parse({"--admin", "vm"}).exit_code, kExitUsage);
+}
+
 // Guards against mistaking one command for another, and against losing
 // operands.
 TEST(ParseCommandTest, ReadsOperandsAndFlags) {
