--- a/camphorsail/runtime/duty_feed.cc
+++ b/camphorsail/runtime/duty_feed.cc
@@ -21,15 +21,20 @@
   return settings;
 }
 
+/// Time since its last message after which a server that was leaving has left.
+constexpr absl::Duration kLeavingSilence = absl::Seconds(3);
+
 /// Adds a server to the supply of its failure domain.
-void AddServer(const ServerAnnouncement& announcement,
+void AddServer(const ServerEntry& entry,
                bool is_available,
+               MonoTime now,
                DomainSupply* supply) {
+  const ServerAnnouncement& announcement = entry.announcement;
   if (!announcement.description.reclaimable) {
     supply->regular += is_available ? 1 : 0;
   } else if (is_available) {
     ++supply->reclaimable;
-  } else if (announcement.leaving) {
+  } else if (announcement.leaving && now - entry.heard_at < kLeavingSilence) {
     ++supply->reclaimable_leaving;
   }
 }
@@ -131,10 +136,14 @@
   for (const auto& [id, entry] : registry.entries()) {
     const ServerDescription& description = entry.announcement.description;
     const auto found = in_flight.find(StableHash(id.value()));
-    const double occupied = found == in_flight.end()
-                                ? 0
-                                : found->second / static_cast<double>(std::max(
-                                                      1, description.capacity));
+    // Requests that wait for a slot are not a demand for another server: they
+    // wait longer the fewer servers there are.
+    const int capacity_slots = std::max(1, description.capacity);
+    const double occupied =
+        found == in_flight.end()
+            ? 0
+            : std::min(1.0,
+                       found->second / static_cast<double>(capacity_slots));
     if (description.kind == ServerKind::kModelEngine) {
       all_engines_occupied += occupied;
     }
@@ -144,7 +153,7 @@
         continue;
       }
       service->second.occupied += occupied;
-      AddServer(entry.announcement, registry.IsAvailable(id, now),
+      AddServer(entry, registry.IsAvailable(id, now), now,
                 &service->second.domains[description.failure_domain]);
     }
   }
@@ -164,8 +173,17 @@
     if (all_engines_occupied > 0) {
       capacity.arriving_work = work * capacity.occupied / all_engines_occupied;
     }
-    for (WantedServers& servers : planner_->Plan(capacity, now)) {
-      wanted.push_back(std::move(servers));
+    int servers = 0;
+    for (WantedServers& planned : planner_->Plan(capacity, now)) {
+      servers += planned.order.count;
+      wanted.push_back(std::move(planned));
+    }
+    if (std::exchange(planned_servers_[name], servers) != servers) {
+      LogEvent("capacity_planned")
+          .Add("service", name)
+          .Add("count", servers)
+          .Add("arriving_work", capacity.arriving_work)
+          .Add("occupied", capacity.occupied);
     }
   }
   return wanted;
