--- a/camphorsail/placement/gateway_server_load.h
+++ b/camphorsail/placement/gateway_server_load.h
@@ -33,6 +33,9 @@
   /// Tokens that the requests hold in the server's memory. Only counted for
   /// services whose memory is stated.
   UrgencyCounts tokens_by_urgency{};
+  /// Late answers and failed attempts since the report before, counted while
+  /// the server is paced; see `ServerPace`.
+  uint32_t late_answers = 0;
 
   GatewayServerLoad& operator+=(const GatewayServerLoad& other) {
     in_flight += other.in_flight;
@@ -42,6 +45,7 @@
     backlog_ms_by_urgency += other.backlog_ms_by_urgency;
     speed += other.speed;
     tokens_by_urgency += other.tokens_by_urgency;
+    late_answers += other.late_answers;
     return *this;
   }
   /// @param other A load that was added before.
@@ -53,17 +57,20 @@
     backlog_ms_by_urgency -= other.backlog_ms_by_urgency;
     speed -= other.speed;
     tokens_by_urgency -= other.tokens_by_urgency;
+    late_answers -= other.late_answers;
     return *this;
   }
 
   /// @return True when the load says nothing.
   bool IsEmpty() const {
-    return in_flight == 0 && backlog_ms == 0 && answers == 0 && speed.IsEmpty();
+    return in_flight == 0 && backlog_ms == 0 && answers == 0 &&
+           speed.IsEmpty() && late_answers == 0;
   }
 
   template <typename Packer>
   void msgpack_pack(Packer& packer) const {
-    if (speed.IsEmpty() && tokens_by_urgency == UrgencyCounts()) {
+    if (speed.IsEmpty() && tokens_by_urgency == UrgencyCounts() &&
+        late_answers == 0) {
       msgpack::type::make_define_array(server, in_flight, backlog_ms, answers,
                                        requests_by_urgency,
                                        backlog_ms_by_urgency)
@@ -71,14 +78,16 @@
     } else {
       msgpack::type::make_define_array(
           server, in_flight, backlog_ms, answers, requests_by_urgency,
-          backlog_ms_by_urgency, speed.steps, speed.weight, tokens_by_urgency)
+          backlog_ms_by_urgency, speed.steps, speed.weight, tokens_by_urgency,
+          late_answers)
           .msgpack_pack(packer);
     }
   }
   void msgpack_unpack(const msgpack::object& object) {
-    msgpack::type::make_define_array(
-        server, in_flight, backlog_ms, answers, requests_by_urgency,
-        backlog_ms_by_urgency, speed.steps, speed.weight, tokens_by_urgency)
+    msgpack::type::make_define_array(server, in_flight, backlog_ms, answers,
+                                     requests_by_urgency, backlog_ms_by_urgency,
+                                     speed.steps, speed.weight,
+                                     tokens_by_urgency, late_answers)
         .msgpack_unpack(object);
   }
 };
--- a/camphorsail/placement/placement.cc
+++ b/camphorsail/placement/placement.cc
@@ -45,6 +45,10 @@
 /// Objective that is assumed for a route without one, in milliseconds.
 constexpr double kDefaultObjectiveMs = 1000;
 
+/// Fraction of the latency objective up to which a request counts as on time. A
+/// full service refuses requests above it.
+constexpr double kOnTimeObjectiveFraction = 0.9;
+
 double ObjectiveMs(const PlacementRequest& request) {
   return request.objective > absl::ZeroDuration()
              ? absl::ToDoubleMilliseconds(request.objective)
@@ -489,6 +493,12 @@
         (stays_in_lane && !lane.Contains(*server, i))) {
       continue;
     }
+    if (filter.pace.has_value() && server->pace.is_active() &&
+        !server->pace.Admits(server->PaceLoad(gateway_count_, now),
+                             *filter.pace, now, &random_)) {
+      best.is_held_back = true;
+      continue;
+    }
     Estimate estimate =
         request.is_generation
             ? EstimateGeneration(*server, i, request, lane, model, now)
@@ -525,6 +535,34 @@
   return best;
 }
 
+PlacementChoice Placement::ChoosePaced(const BackendServers& servers,
+                                       const PlacementRequest& request,
+                                       const ServiceModel& model,
+                                       const Lane& lane,
+                                       Filter filter,
+                                       MonoTime now) {
+  if (!filter.accepting_only) {
+    return ChooseAmong(servers, request, model, lane, filter, now);
+  }
+  // New servers that have enough requests for now are skipped, unless the
+  // request would be late elsewhere or there is no other server.
+  filter.pace = ServerPace::Bound::kLimit;
+  PlacementChoice choice =
+      ChooseAmong(servers, request, model, lane, filter, now);
+  const bool is_late = absl::ToDoubleMilliseconds(choice.expected) >
+                       ObjectiveMs(request) * kOnTimeObjectiveFraction;
+  if (!choice.is_held_back || (choice.server && !is_late)) {
+    return choice;
+  }
+  filter.pace = ServerPace::Bound::kSlots;
+  choice = ChooseAmong(servers, request, model, lane, filter, now);
+  if (choice.server) {
+    return choice;
+  }
+  filter.pace.reset();
+  return ChooseAmong(servers, request, model, lane, filter, now);
+}
+
 PlacementChoice Placement::Choose(const BackendServers& servers,
                                   const PlacementRequest& request,
                                   const ServiceModel& model,
@@ -546,7 +584,7 @@
   }
   for (const Filter& filter : filters) {
     PlacementChoice choice =
-        ChooseAmong(servers, request, model, lane, filter, now);
+        ChoosePaced(servers, request, model, lane, filter, now);
     if (choice.server) {
       return choice;
     }
--- a/camphorsail/placement/placement.h
+++ b/camphorsail/placement/placement.h
@@ -93,6 +93,8 @@
   double cost = 0;
   /// Estimated cost of the second-best server.
   double next_cost = 0;
+  /// True when a server was skipped because of its pace.
+  bool is_held_back = false;
 };
 
 /// Chooses the backend server with the lowest cost for a request. The cost is
@@ -260,6 +262,9 @@
     /// Skips servers whose memory is too full for the request, counting the
     /// requests of at least this urgency; nothing to skip none.
     std::optional<Urgency> memory;
+    /// Skips servers whose pace does not admit the request; nothing to skip
+    /// none.
+    std::optional<ServerPace::Bound> pace{};
   };
 
   /// @return True when the request has to stay in its lane: the lanes are
@@ -280,6 +285,15 @@
                         const PlacementRequest& request,
                         Urgency urgency,
                         MonoTime now);
+  /// @return The choice among the servers that pass the filter and whose pace
+  /// admits the request; servers that are held back are considered too if the
+  /// request would be late elsewhere.
+  PlacementChoice ChoosePaced(const BackendServers& servers,
+                              const PlacementRequest& request,
+                              const ServiceModel& model,
+                              const Lane& lane,
+                              Filter filter,
+                              MonoTime now);
   /// @return The choice among the servers that pass the filter.
   PlacementChoice ChooseAmong(const BackendServers& servers,
                               const PlacementRequest& request,
