Tests of the HTTP caller: the write itself and the Expect header are seen

Without the check at the write, and with the header left to libcurl, the tests passed. They now look at what arrives and fail in both cases.

--- a/tests/unit/http/http_caller_test.cc
+++ b/tests/unit/http/http_caller_test.cc
@@ -176,6 +176,7 @@
     const auto result = Post(std::move(call));
     ASSERT_TRUE(result.has_value());
     EXPECT_EQ(result->status, status);
+    EXPECT_FALSE(absl::StrContains(listener.received(), "Expect:"));
     EXPECT_EQ(listener.connections(), 1);
   }
 }
@@ -224,6 +225,15 @@
   });
   absl::SleepFor(absl::Milliseconds(400));
   const int accepted = accept(full, nullptr, nullptr);
+  // The call's connection, which comes up after the time.
+  pollfd readable = {full, POLLIN, 0};
+  ASSERT_EQ(poll(&readable, 1, 3'000), 1);
+  const int late = accept(full, nullptr, nullptr);
+  readable = {late, POLLIN, 0};
+  poll(&readable, 1, 500);
+  char byte = 0;
+  EXPECT_LE(recv(late, &byte, 1, MSG_DONTWAIT), 0);
+  close(late);
   ASSERT_TRUE(done.WaitForNotificationWithTimeout(absl::Seconds(10)));
   EXPECT_FALSE(result.may_have_been_sent);
   EXPECT_EQ(result.status, 0);
