--- a/tests/unit/control_node/virtual_provider.h
+++ b/tests/unit/control_node/virtual_provider.h
@@ -42,7 +42,8 @@
   int Running(const ServerOrderSubject& subject) const;
   /// While unavailable, the provider refuses connections or fails.
   void set_available(bool available) { is_available_ = available; }
-  /// While calm, the provider loses no answer and has all servers.
+  /// While calm, the provider is reached without delay, loses no answer and has
+  /// all servers.
   void set_calm(bool calm) { is_calm_ = calm; }
 
   /// The VM has no contact with the other ones from now on.
