Tests: a holder that is cut off from a failure domain; successive holders

Both were found missing by changing the rule: without the replacement of lost subjects the first fails, without the division by 1.1 successive holders reach 49 servers in place of 44.

--- a/tests/unit/scaling/capacity_planner_test.cc
+++ b/tests/unit/scaling/capacity_planner_test.cc
@@ -401,6 +401,36 @@
   EXPECT_GE(Present(service), kNeed);
 }
 
+// Load: the holder is cut off from a failure domain whose servers go on. Guards
+// against giving them back, and against a service that is not reinforced where
+// it may be needed.
+TEST(CapacityPlannerTest, UnseenServersAreReplacedAndKept) {
+  PlannedService service = BusyService();
+  const ServerOrderSubject unseen = Subject('a', ServerTenure::kReclaimable);
+  const int before = service.fleet().Present(unseen, service.Now());
+  service.fleet().SetHidden(Domain('a'), true);
+  service.RunUntil(kFailureAt + 40);
+  EXPECT_EQ(service.fleet().Present(unseen, service.Now()), before);
+  EXPECT_GE(Present(service), kStart + before - kChange);
+  service.fleet().SetHidden(Domain('a'), false);
+  const PlannedService::Span span = service.RunUntil(kFailureAt + 300);
+  EXPECT_GE(span.min_present, kStart);
+  EXPECT_LE(Present(service), kStart + 2 * kChange);
+}
+
+// Load: the holder changes again and again while servers are moved back after a
+// reclaim. Guards against holders that each add a step to the servers of the
+// one before.
+TEST(CapacityPlannerTest, SuccessiveHoldersDoNotAddServers) {
+  PlannedService service = BusyService();
+  service.fleet().Reclaim(Domain('a'), service.Now());
+  for (int i = 1; i <= 20; ++i) {
+    service.RunUntil(kFailureAt + 7 * i);
+    service.ChangeHolder();
+    EXPECT_LE(service.Ordered(), kStart + 2 * kChange);
+  }
+}
+
 // Load: servers become slow, so that each takes 1.8 times as long. Guards
 // against a plan that counts requests only.
 TEST(CapacityPlannerTest, SlowServersAreReinforced) {
--- a/tests/unit/scaling/fake_fleet.h
+++ b/tests/unit/scaling/fake_fleet.h
@@ -71,6 +71,11 @@
   void SetDry(const ServerOrderSubject& subject, MonoTime until) {
     dry_until_[subject] = until;
   }
+  /// Sets whether the holder of the duties sees the servers of a failure
+  /// domain.
+  void SetHidden(const FailureDomainId& domain, bool is_hidden) {
+    hidden_[domain] = is_hidden;
+  }
   /// Ends servers without a notice; the provider does not replace them until it
   /// is asked to.
   void Crash(const ServerOrderSubject& subject, int count) {
@@ -121,6 +126,11 @@
                           }));
       }
     }
+    for (const auto& [domain, is_hidden] : hidden_) {
+      if (is_hidden) {
+        capacity.domains[domain] = {};
+      }
+    }
     for (const auto& [subject, count] : ordered_) {
       capacity.domains[subject.failure_domain].Of(subject.tenure).ordered =
           count;
@@ -151,6 +161,7 @@
   std::map<ServerOrderSubject, std::vector<Server>> servers_;
   std::map<ServerOrderSubject, int> ordered_;
   std::map<ServerOrderSubject, MonoTime> dry_until_;
+  std::map<FailureDomainId, bool> hidden_;
 };
 
 }  // namespace camphorsail
