--- a/tests/unit/scaling/server_order_inputs_test.cc
+++ b/tests/unit/scaling/server_order_inputs_test.cc
@@ -56,7 +56,7 @@
         Announce(now);
       }
       wanted =
-          feed_.MakeInputs(registry_, table_, store_, load, now).wanted_servers;
+          feed_.MakeInputs(registry_, table_, state_, load, now).wanted_servers;
     }
     return wanted;
   }
@@ -64,7 +64,7 @@
   DutyFeed feed_{MakeOptions()};
   ServerRegistry registry_{ServerRegistrySettings()};
   RoutingTable table_;
-  DutyStore store_;
+  DutyFeed::LeaderState state_;
   uint64_t sequence_ = 0;
 };
 
