--- a/camphorsail/control/control_node_submissions.cc
+++ b/camphorsail/control/control_node_submissions.cc
@@ -63,7 +63,7 @@
       orders_.OnProposalAnswer(submission.id, WasCommitted(answer.result));
       break;
     case SubmissionKind::kDuty:
-      duties_.OnProposalAnswer(submission.id);
+      duties_.OnProposalAnswer(submission.id, WasCommitted(answer.result));
       break;
   }
 }
--- a/camphorsail/duties/duty_driver.cc
+++ b/camphorsail/duties/duty_driver.cc
@@ -306,6 +306,23 @@
   }
 }
 
+void DutyDriver::OnProposalAnswer(uint64_t id, bool committed) {
+  const auto found = proposed_.find(id);
+  if (found == proposed_.end()) {
+    return;
+  }
+  const Command command = std::move(found->second);
+  proposed_.erase(found);
+  if (committed) {
+    return;
+  }
+  if (const auto* usage = std::get_if<UsageSettlement>(&command)) {
+    reported_.erase(usage->number);
+  } else if (const auto* order = std::get_if<OrderSettlement>(&command)) {
+    ordered_.erase(order->order.subject);
+  }
+}
+
 void DutyDriver::OnUsageEnded(const ProviderCall& call,
                               ProviderOutcome outcome,
                               MonoTime now,
--- a/camphorsail/duties/duty_driver.h
+++ b/camphorsail/duties/duty_driver.h
@@ -73,7 +73,10 @@
                    MonoTime now,
                    Output* output);
   /// Handles the outcome of a proposal.
-  void OnProposalAnswer(uint64_t id) { proposed_.erase(id); }
+  /// @param committed False when the outcome of the proposal is not known or it
+  ///     was rejected. What a settlement records is done again: the report is
+  ///     repeated unchanged, the order is sent again.
+  void OnProposalAnswer(uint64_t id, bool committed);
 
   /// @return True when `Advance` must be called.
   bool IsDue(MonoTime now) const {
--- a/camphorsail/gateway/backend_fleet.cc
+++ b/camphorsail/gateway/backend_fleet.cc
@@ -75,6 +75,13 @@
   for (const GatewayServerLoad& load : loads) {
     by_server[load.server] = &load;
   }
+  absl::flat_hash_map<ModelId, double> service_answers;
+  for (const auto& [id, server] : servers_) {
+    if (const auto load = by_server.find(server->hash);
+        load != by_server.end()) {
+      service_answers[server->service] += load->second->answers;
+    }
+  }
   for (const auto& [id, server] : servers_) {
     const auto found = by_server.find(server->hash);
     const GatewayServerLoad load =
@@ -83,15 +90,10 @@
     if (!server->pace.is_active()) {
       continue;
     }
-    double service_answers = 0;
-    for (const Ref<BackendServer>& other : ServersOf(server->service)) {
-      const auto other_load = by_server.find(other->hash);
-      service_answers +=
-          other_load == by_server.end() ? 0 : other_load->second->answers;
-    }
     server->pace.OnSharedAnswers(
         {static_cast<double>(load.in_flight), static_cast<double>(load.answers),
-         static_cast<double>(load.late_answers), service_answers},
+         static_cast<double>(load.late_answers),
+         service_answers[server->service]},
         server->slots, now);
     LogPaceEnd(server.get());
   }
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -397,7 +397,7 @@
       placement_.Choose(fleet_.ServersOf(exchange->service->name),
                         exchange->placement, model, now);
   if (!choice.server) {
-    RefuseWithoutServer(exchange, choice);
+    RefuseWithoutServer(exchange);
     return;
   }
   BackendServer& server = *choice.server;
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -291,7 +291,7 @@
   void Finish(Exchange* exchange);
 
   /// Refuses a request that no server takes.
-  void RefuseWithoutServer(Exchange* exchange, const PlacementChoice& choice);
+  void RefuseWithoutServer(Exchange* exchange);
   /// Sets what the request needs of a server's memory, if that is stated.
   void SetMemoryNeed(Exchange* exchange);
   /// @return Time after which the caller should retry a refused request.
--- a/camphorsail/gateway/gateway_admission.cc
+++ b/camphorsail/gateway/gateway_admission.cc
@@ -56,6 +56,7 @@
       absl::Milliseconds(route.objective_ms) * kAdmissionObjectiveFraction;
   // An engine with free slots is full too when it has too many prompts to read.
   const bool has_room =
+      !choice.is_memory_full &&
       choice.server->Load(loop_->now()) < choice.server->slots &&
       choice.queue <= limit;
   return has_room ? absl::InfiniteDuration() : limit;
--- a/camphorsail/gateway/gateway_answer.cc
+++ b/camphorsail/gateway/gateway_answer.cc
@@ -472,13 +472,7 @@
   exchange->attempt.reset();
 }
 
-void Gateway::RefuseWithoutServer(Exchange* exchange,
-                                  const PlacementChoice& choice) {
-  if (choice.is_memory_full) {
-    Refuse(exchange, ErrorKind::kOverloaded,
-           "no backend server has memory for the request");
-    return;
-  }
+void Gateway::RefuseWithoutServer(Exchange* exchange) {
   const MonoTime now = loop_->now();
   MonoTime accepts_from = MonoTime::Infinite();
   for (const Ref<BackendServer>& server :
--- a/camphorsail/placement/placement.cc
+++ b/camphorsail/placement/placement.cc
@@ -308,7 +308,10 @@
   }
   for (size_t i = 0; i < servers.size(); ++i) {
     const BackendServer& server = *servers[i];
-    if (lane.Contains(server, i) && IsUsable(server, request, filter, now) &&
+    const bool may_be_held_back =
+        filter.pace.has_value() && server.pace.is_active();
+    if (lane.Contains(server, i) && !may_be_held_back &&
+        IsUsable(server, request, filter, now) &&
         server.Load(now) + 1 <= server.slots * kRoomSlotFraction &&
         QueueMs(server, request, now) <
             ObjectiveMs(request) * kRoomObjectiveFraction) {
@@ -589,15 +592,24 @@
       return choice;
     }
   }
-  PlacementChoice none;
-  none.is_memory_full =
-      is_memory_limited &&
-      std::any_of(
-          servers.begin(), servers.end(),
-          [&](const Ref<BackendServer>& server) {
-            return IsUsable(*server, request, {false, std::nullopt}, now);
-          });
-  return none;
+  if (!is_memory_limited) {
+    return {};
+  }
+  // No server has memory: the request waits until one of the requests on its
+  // server ends, as it does for a slot.
+  for (const bool accepting_only : {true, false}) {
+    PlacementChoice choice = ChoosePaced(servers, request, model, lane,
+                                         {accepting_only, std::nullopt}, now);
+    if (choice.server) {
+      const absl::Duration wait =
+          absl::Seconds(request.slot_seconds / choice.server->slots);
+      choice.is_memory_full = true;
+      choice.queue += wait;
+      choice.expected += wait;
+      return choice;
+    }
+  }
+  return {};
 }
 
 }  // namespace camphorsail
--- a/camphorsail/runtime/duty_feed.cc
+++ b/camphorsail/runtime/duty_feed.cc
@@ -59,6 +59,9 @@
 
 std::optional<UsageForward> DutyFeed::OnForward(const UsageForward& forward,
                                                 MonoTime now) {
+  if (!CountsUsage() || !duties_.usage) {
+    return std::nullopt;
+  }
   absl::MutexLock lock(&mutex_);
   if (forward.is_acknowledgement) {
     if (forward.term == forwarded_in_) {
--- a/camphorsail/scaling/capacity_planner.cc
+++ b/camphorsail/scaling/capacity_planner.cc
@@ -114,6 +114,10 @@
 void CapacityPlanner::AddSubjects(const ServiceCapacity& capacity,
                                   MonoTime now,
                                   ServicePlan* plan) const {
+  // The provider has no servers any more in a failure domain that is gone.
+  std::erase_if(plan->subjects, [&](const auto& item) {
+    return !capacity.domains.contains(item.first.failure_domain);
+  });
   for (const auto& [domain, supply] : capacity.domains) {
     for (const ServerTenure tenure : kTenures) {
       const auto [it, is_new] =
--- a/camphorsail/usage/usage_collector.cc
+++ b/camphorsail/usage/usage_collector.cc
@@ -129,7 +129,16 @@
     const bool is_removed = settings_.IsImplausible(window->first, true_now) ||
                             (window->second.is_agreed &&
                              settings_.ExpiryOf(window->first) < true_now);
-    window = is_removed ? Remove(window) : std::next(window);
+    if (!is_removed) {
+      ++window;
+      continue;
+    }
+    // A window of the future comes from a clock that was ahead; the windows
+    // before it are still to be counted.
+    if (window->first <= settings_.WindowAt(true_now)) {
+      removed_through_ = std::max(removed_through_, window->first);
+    }
+    window = Remove(window);
   }
   if (windows_.empty()) {
     source_indexes_.clear();
@@ -156,13 +165,13 @@
     unacknowledged_.erase(item->second.sequence);
     item = counts_.erase(item);
   }
-  removed_through_ = std::max(removed_through_, number);
   return windows_.erase(window);
 }
 
 bool UsageCollector::MakeRoom() {
   while (counts_.size() >= kMaxCounts && !windows_.empty() &&
          windows_.begin()->second.is_agreed) {
+    removed_through_ = std::max(removed_through_, windows_.begin()->first);
     Remove(windows_.begin());
   }
   return counts_.size() < kMaxCounts;
