--- a/camphorsail/placement/placement.cc
+++ b/camphorsail/placement/placement.cc
@@ -55,6 +55,16 @@
              : kDefaultObjectiveMs;
 }
 
+/// @return True when most of the servers have just started or recovered. The
+/// others then cannot take the load that a pace would keep away from these.
+bool AreMostPaced(const BackendServers& servers) {
+  const auto paced = std::count_if(servers.begin(), servers.end(),
+                                   [](const Ref<BackendServer>& server) {
+                                     return server->pace.is_active();
+                                   });
+  return 2 * static_cast<size_t>(paced) > servers.size();
+}
+
 /// @return Hash of the longest prefix that other requests may share; 0 when
 /// there is none.
 uint64_t LongestPrefix(const PlacementRequest& request) {
@@ -544,7 +554,7 @@
                                        const Lane& lane,
                                        Filter filter,
                                        MonoTime now) {
-  if (!filter.accepting_only) {
+  if (!filter.accepting_only || AreMostPaced(servers)) {
     return ChooseAmong(servers, request, model, lane, filter, now);
   }
   // New servers that have enough requests for now are skipped, unless the
--- a/camphorsail/placement/service_speeds.cc
+++ b/camphorsail/placement/service_speeds.cc
@@ -14,7 +14,7 @@
 constexpr double kUnevenOctaves = 0.49;
 constexpr double kAlikeOctaves = 0.32;
 /// Fraction of the servers that have to be that far off.
-constexpr double kMinUnevenFraction = 0.03;
+constexpr double kMinUnevenFraction = 0.1;
 /// Steps of an octave by which servers are ordered. Servers of the same step
 /// are ordered by their hash.
 constexpr double kRankStepsPerOctave = 8;
--- a/tests/unit/placement/server_pace_test.cc
+++ b/tests/unit/placement/server_pace_test.cc
@@ -204,6 +204,16 @@
   EXPECT_EQ(Place(30), 8);
 }
 
+// Load pattern: most of the fleet is replaced at once. Guards against sending
+// all requests to the few servers that were there before.
+TEST_F(PacedPlacementTest, PaceGivesWayWhenMostServersAreNew) {
+  servers_.push_back(MakeRef<BackendServer>());
+  servers_.back()->id = BackendServerId("new too");
+  servers_.back()->slots = 8;
+  servers_.back()->pace.Begin(8, At(0));
+  EXPECT_GE(Place(24), 7);
+}
+
 // The limit never refuses a caller.
 TEST_F(PacedPlacementTest, RequestIsPlacedWhenAllServersAreAtTheirLimit) {
   servers_[1]->pace.Begin(8, At(0));
