--- a/tests/unit/placement/account_patterns_test.cc
+++ b/tests/unit/placement/account_patterns_test.cc
@@ -199,8 +199,7 @@
   ExpectRules(result);
   pattern.service.has_shares = false;
   const double without = ServedOfOthers(Play(pattern), busy);
-  // With hundreds of accounts, the messages do not carry enough to tell all
-  // busy ones from the others, see docs/design/account-shares.md.
+  // With hundreds of accounts, `AccountScaleTest` checks the same bound.
   EXPECT_GE(ServedOfOthers(result, busy),
             pattern.accounts > 100 ? without + 0.1 : 0.97);
 }
@@ -255,6 +254,22 @@
   EXPECT_GE(result.served_urgent, 0.97);
 }
 
+class AccountScaleTest : public AccountPatternTest {};
+
+// Load pattern: a tenth of hundreds of accounts sends ten times its usual.
+// Guards against refusing accounts that are within their share.
+TEST_P(AccountScaleTest, ATenthOfTheAccountsSendsTenTimesItsUsual) {
+  Pattern pattern = Usual();
+  const int busy = pattern.accounts / 10;
+  pattern.factor = [&](int account) { return account < busy ? 10.0 : 1.0; };
+  EXPECT_GE(ServedOfOthers(Play(pattern), busy), 0.97);
+}
+
+INSTANTIATE_TEST_SUITE_P(AtScale,
+                         AccountScaleTest,
+                         testing::Values(Size{33, 200, 40'000},
+                                         Size{410, 1100, 400'000}));
+
 INSTANTIATE_TEST_SUITE_P(Sizes,
                          AccountPatternTest,
                          testing::Values(Size{1, 24, 10'000},
