Speeds and memory are judged only where servers report a slowdown; the pace is a setting, off by default

Causes: lanes by speed and the bound of an engine's memory took effect on a deployment whose servers report three figures; the pace kept work from servers that return while the others had queues.

--- a/camphorsail/gateway/backend_fleet.cc
+++ b/camphorsail/gateway/backend_fleet.cc
@@ -167,7 +167,7 @@
   if (left != leaving_.end() && left->second.incarnation >= view.incarnation) {
     server->wishes.OnLeaving();
   }
-  if (is_new || replaces_another) {
+  if (paces_servers_ && (is_new || replaces_another)) {
     server->pace.Begin(server->slots, now);
     LogPaceBegin(*server, replaces_another ? "replaced" : "started");
   }
--- a/camphorsail/gateway/backend_fleet.h
+++ b/camphorsail/gateway/backend_fleet.h
@@ -24,6 +24,9 @@
  public:
   using Servers = BackendServers;
 
+  /// @param is_enabled False when servers that start get no pace.
+  void EnablePace(bool is_enabled) { paces_servers_ = is_enabled; }
+
   /// Adds and removes servers as the registry has changed.
   /// @param changes The changes that were taken from `registry`.
   void Apply(const ServerRegistry::Changes& changes,
@@ -86,6 +89,7 @@
   std::map<BackendServerId, Unnamed> unnamed_;
   /// When the first server was added.
   std::optional<MonoTime> first_server_at_;
+  bool paces_servers_ = true;
 };
 
 }  // namespace camphorsail
--- a/camphorsail/gateway/gateway.cc
+++ b/camphorsail/gateway/gateway.cc
@@ -61,7 +61,9 @@
                  OnServerChecked(server, ended);
                }),
       usage_(settings.usage),
-      random_(settings.seed ^ kTargetChoiceSeedMask) {}
+      random_(settings.seed ^ kTargetChoiceSeedMask) {
+  fleet_.EnablePace(settings.paces_servers);
+}
 
 Gateway::~Gateway() {
   loop_->Cancel(housekeeping_);
--- a/camphorsail/gateway/gateway.h
+++ b/camphorsail/gateway/gateway.h
@@ -107,8 +107,10 @@
     placement_.SetDemand(demand);
     demand_.SetTotalRequests(demand.requests, loop_->now());
     for (auto& [service, model] : models_) {
-      placement_.Divide(fleet_.ServersOf(service), &model.speeds(),
-                        loop_->now());
+      if (model.speeds().has_reports()) {
+        placement_.Divide(fleet_.ServersOf(service), &model.speeds(),
+                          loop_->now());
+      }
     }
   }
 
--- a/camphorsail/gateway/gateway_answer.cc
+++ b/camphorsail/gateway/gateway_answer.cc
@@ -367,8 +367,10 @@
     LogEvent("server_suspended", LogLevel::kWarning)
         .Add("server", server->id)
         .Add("failure", failure);
-    server->pace.Begin(server->slots, now);
-    LogPaceBegin(*server, "suspended");
+    if (settings_.paces_servers) {
+      server->pace.Begin(server->slots, now);
+      LogPaceBegin(*server, "suspended");
+    }
   }
 }
 
--- a/camphorsail/gateway/gateway_memory.cc
+++ b/camphorsail/gateway/gateway_memory.cc
@@ -7,6 +7,9 @@
 
 void Gateway::SetMemoryNeed(Exchange* exchange) {
   PlacementRequest& placement = exchange->placement;
+  if (!ModelOf(*exchange).speeds().has_reports()) {
+    return;
+  }
   placement.server_memory = Tokens(exchange->service->kv_capacity_tokens);
   if (!placement.is_generation || placement.server_memory <= Tokens(0)) {
     return;
--- a/camphorsail/gateway/gateway_settings.h
+++ b/camphorsail/gateway/gateway_settings.h
@@ -27,6 +27,8 @@
   PlacementSettings placement;
   GatewayRetryBudgetSettings retries;
   UsageSettings usage;
+  /// True when servers that start or recover get a pace, see `ServerPace`.
+  bool paces_servers = true;
   /// Seed of the random choices.
   uint64_t seed = 1;
 };
--- a/camphorsail/process/option_spec.cc
+++ b/camphorsail/process/option_spec.cc
@@ -363,6 +363,13 @@
                     [](double value, Options* options) {
                       options->usage_report_delay = absl::Seconds(value);
                     }),
+      {"server-pace", "false", "true or false",
+       "Whether a gateway limits the requests on servers that start or recover "
+       "by how they answer.",
+       [](const std::string& value, Options* options) {
+         options->server_pace = value == "true";
+         return value == "true" || value == "false";
+       }},
       IntegerOption("initial-voters", 0, 0, kMaxInitialVoters,
                     "Number of voters in the first membership; 0 means all "
                     "daemons, but at most 7.",
--- a/camphorsail/process/options.h
+++ b/camphorsail/process/options.h
@@ -98,6 +98,8 @@
   absl::Duration usage_window;
   /// Time after the end of a usage window at which its report is due.
   absl::Duration usage_report_delay;
+  /// True when a gateway finds a pace for servers that start or recover.
+  bool server_pace = false;
   /// The other daemons; does not contain `vm`.
   std::vector<PeerAddress> peers;
   /// Number of voters in the initial membership, which are the daemons with the
--- a/camphorsail/runtime/gateway_daemon.cc
+++ b/camphorsail/runtime/gateway_daemon.cc
@@ -61,6 +61,7 @@
   settings.answers = AnswerBudgetSettings::For(options.memory_limit_bytes);
   settings.retries = MakeRetrySettings(options);
   settings.usage.window = options.usage_window;
+  settings.paces_servers = options.server_pace;
   settings.usage.report_delay = options.usage_report_delay;
   settings.seed = RandomSeed();
   return settings;
