--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -104,11 +104,13 @@
 class Deployment:
     """Three control machines and some front machines."""
 
-    def __init__(self, record, fronts=2, memory_mb=FRONT_MEMORY_MB, fds=FRONT_FDS, bounds=None):
+    def __init__(self, record, fronts=2, memory_mb=FRONT_MEMORY_MB, fds=FRONT_FDS, bounds=None, one_core=False):
         self.record = record
         self.fronts = fronts
         self.memory_mb, self.fds = memory_mb, fds
         self.bounds = bounds or AFTAR_BOUNDS
+        # Each process sees one processor, as DEPLOY.md says of the machines.
+        self.one_core = one_core
         self.network = free_network()
         self.folder = tempfile.mkdtemp(prefix="camphorsail-review-")
         self.processes = {}
@@ -148,8 +150,15 @@
         environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         environment["CAMPHORSAIL_NODE_FILE"] = settings
         with open(os.path.join(self.folder, name + ".log"), "ab") as log:
-            self.processes[name] = subprocess.Popen(role["run"].split(), cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
-                                                    stdout=log, stderr=log)
+            pin = None
+            if self.one_core:
+                processors = sorted(os.sched_getaffinity(0))
+                processor = processors[len(self.processes) % len(processors)]
+
+                def pin():
+                    os.sched_setaffinity(0, {processor})
+            self.processes[name] = subprocess.Popen(role["run"].split(), cwd=ROOT, env=environment, preexec_fn=pin,
+                                                    stdin=subprocess.DEVNULL, stdout=log, stderr=log)
         self.record.add(f"started {name}, process {self.processes[name].pid}, at {ip}")
 
     def start_control(self, i, bootstrap=False):
