Gateway: an answer whose head is not valid HTTP/1.1 is no answer

What callers saw: nothing until their time limit (504 at 4.0 s of 4.0 s) when a server answered at once with the status 000, 0, 00, 099 or 20; the status itself when it was 600 or above; a 200 when the status line said 0200, 2.0 as version, or had a control character in its reason; and headers whose continued lines were joined without a blank ("a", "z" became "az").

Cause: http_parser accepts more than the grammar of HTTP/1.1, and only names and values of headers were checked after it. A status below 200 was taken for an interim answer, so the connection went on waiting for the final one.

The fix: AnswerHeadValidator reads the bytes of the head before the parser does, so that what the parser accepts and how a head is divided into reads no longer matter. It keeps no bytes. An invalid head fails the attempt with kProtocol at once: the request is retried where that is allowed, or answered 502 with "unknown".

--- a/camphorsail/gateway/backend_connection.cc
+++ b/camphorsail/gateway/backend_connection.cc
@@ -101,15 +101,12 @@
   head.status = parser->status_code;
   head.headers = self->collector_.Take();
   if (head.status < 200) {
-    // An interim (1xx) answer. 101 is an error, because the gateway never asks
-    // for an upgrade.
-    return head.status == 101 || ++self->interim_answers_ > kMaxInterimAnswers
-               ? -1
-               : 0;
+    // An interim (1xx) answer.
+    return ++self->interim_answers_ > kMaxInterimAnswers ? -1 : 0;
   }
   const size_t framings = head.headers.Count("content-length") +
                           head.headers.Count("transfer-encoding");
-  if (framings > 1 || !AreHeadersValid(head.headers)) {
+  if (framings > 1) {
     return -1;
   }
   if (const std::string* value = head.headers.Find("keep-alive")) {
@@ -165,6 +162,7 @@
   reusable_ = false;
   http_parser_init(&parser_, HTTP_RESPONSE);
   parser_.data = this;
+  head_validator_ = AnswerHeadValidator();
   ReleaseMemory(&collector_);
   if (!connecting_) {
     Write();
@@ -301,6 +299,10 @@
 }
 
 void BackendConnection::Parse(const char* data, size_t size) {
+  if (!head_validator_.Append({data, size})) {
+    Fail(BackendFailure::kProtocol);
+    return;
+  }
   const size_t parsed =
       http_parser_execute(&parser_, &ParserSettings(), data, size);
   const std::string piece = std::exchange(body_piece_, {});
--- a/camphorsail/gateway/backend_connection.h
+++ b/camphorsail/gateway/backend_connection.h
@@ -11,6 +11,7 @@
 #include "camphorsail/base/network_address.h"
 #include "camphorsail/gateway/backend_handlers.h"
 #include "camphorsail/gateway/http_parse.h"
+#include "camphorsail/http/answer_head_validator.h"
 #include "camphorsail/net/event_loop.h"
 
 namespace camphorsail {
@@ -110,6 +111,8 @@
   bool paused_ = false;
 
   http_parser parser_;
+  /// Checks the answer before the parser reads it.
+  AnswerHeadValidator head_validator_;
   HeaderCollector collector_;
   /// Body bytes of the current read. They are passed on together, because a
   /// server decides how many chunks they are divided into.
--- a/camphorsail/gateway/http_parse.cc
+++ b/camphorsail/gateway/http_parse.cc
@@ -6,24 +6,15 @@
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_split.h"
+#include "camphorsail/http/http_characters.h"
 
 namespace camphorsail {
 namespace {
 
-constexpr std::string_view kTokenSymbols = "!#$%&'*+-.^_`|~";
 constexpr std::array<const char*, 8> kHopByHopHeaders = {
     "connection", "keep-alive", "transfer-encoding", "te",
     "trailer",    "upgrade",    "proxy-connection",  "proxy-authentication"};
 
-bool IsTokenCharacter(char c) {
-  return absl::ascii_isalnum(static_cast<unsigned char>(c)) ||
-         kTokenSymbols.find(c) != std::string_view::npos;
-}
-
-bool IsValueCharacter(char c) {
-  return c == '\t' || (static_cast<unsigned char>(c) >= 0x20 && c != 0x7f);
-}
-
 }  // namespace
 
 bool AreHeadersValid(const HttpHeaders& headers) {
--- /dev/null
+++ b/tests/fakes/http/malformed_heads.h
@@ -0,0 +1,70 @@
+#ifndef TESTS_FAKES_HTTP_MALFORMED_HEADS_H_
+#define TESTS_FAKES_HTTP_MALFORMED_HEADS_H_
+
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+
+namespace camphorsail {
+
+/// The end of a head and the body of an answer of two bytes.
+inline constexpr char kTwoByteBody[] = "Content-Length: 2\r\n\r\nok";
+
+/// @param headers Lines of headers that each answer has besides.
+/// @return Answers with a status that HTTP/1.1 does not know, or with another
+/// status line that is malformed.
+inline std::vector<std::string> AnswersWithMalformedStatus(
+    const std::string& headers = "") {
+  std::vector<std::string> answers;
+  for (const char* line :
+       {"HTTP/1.1 000 Odd", "HTTP/1.1 0 Odd", "HTTP/1.1 00 Odd",
+        "HTTP/1.1 099 Odd", "HTTP/1.1 20 Odd", "HTTP/1.1 -20 Odd",
+        "HTTP/1.1 0200 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 600 Odd",
+        "HTTP/1.1 999 Odd", "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK",
+        "HTTP/1.1 2x0 OK", "HTTP/1.1 200\x01OK", "HTTP/1.1 200 O\x01K",
+        "HTTP/2.0 200 OK", "HTTP/1.10 200 OK", "HTTP/1.1"}) {
+    answers.push_back(absl::StrCat(line, "\r\n", headers, kTwoByteBody));
+  }
+  return answers;
+}
+
+/// @param headers Lines of valid headers that each answer begins with.
+/// @return Answers with a line that is not a valid header.
+inline std::vector<std::string> AnswersWithMalformedHeader(
+    const std::string& headers = "") {
+  std::vector<std::string> answers;
+  for (const std::string& line :
+       std::vector<std::string>{"X Odd: 1",
+                                "X\tOdd: 1",
+                                "X\x01Odd: 1",
+                                "X\x7fOdd: 1",
+                                "X\x80Odd: 1",
+                                "X(Odd: 1",
+                                std::string("X\0Odd: 1", 8),
+                                ": 1",
+                                "X-Odd : 1",
+                                "X-Odd\t: 1",
+                                " X-Odd: 1",
+                                "\tX-Odd: 1",
+                                "X-Odd",
+                                "Content-Length : 1",
+                                "Transfer-Encoding : chunked",
+                                "X-Odd: a\x01z",
+                                "X-Odd: a\x7fz",
+                                "X-Odd: a\rX-More: z",
+                                std::string("X-Odd: a\0z", 10),
+                                "X-Odd: a\r\n z",
+                                "X-Odd: a\r\n\tz"}) {
+    answers.push_back(absl::StrCat("HTTP/1.1 200 OK\r\n", headers, line, "\r\n",
+                                   kTwoByteBody));
+    // The first line after the status line is a special case for some parsers.
+    answers.push_back(absl::StrCat("HTTP/1.1 200 OK\r\n", line, "\r\n", headers,
+                                   kTwoByteBody));
+  }
+  return answers;
+}
+
+}  // namespace camphorsail
+
+#endif  // TESTS_FAKES_HTTP_MALFORMED_HEADS_H_
--- a/tests/unit/gateway/backend_connection_test.cc
+++ b/tests/unit/gateway/backend_connection_test.cc
@@ -7,10 +7,13 @@
 #include "gtest/gtest.h"
 #include "tests/fakes/gateway/fake_server.h"
 #include "tests/fakes/gateway/loop_driver.h"
+#include "tests/fakes/http/malformed_heads.h"
 
 namespace camphorsail {
 namespace {
 
+/// Time within which an answer that is not valid ends its request.
+constexpr absl::Duration kAtOnce = absl::Seconds(2);
 constexpr char kAnswer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 /// The result of one request.
@@ -79,6 +82,36 @@
     return WaitFor(*outcome);
   }
 
+  /// Sends a request for each answer on a connection of its own and expects
+  /// that nothing of the answer is passed on and that its sender learns at once
+  /// that it is not valid. The connections stay open.
+  void ExpectProtocolFailures(const std::vector<std::string>& answers) {
+    for (const std::string& answer : answers) {
+      Outcome outcome;
+      const size_t before = server_.connection_count();
+      Send(&outcome);
+      ASSERT_TRUE(driver_.RunUntil([&] {
+        return server_.connection_count() > before &&
+               server_.connection(before).Has("/one");
+      }));
+      server_.connection(before).Write(answer);
+      bool is_late = false;
+      const EventLoop::TimerId limit = driver_.loop.RunAt(
+          driver_.loop.now() + kAtOnce, [&is_late] { is_late = true; });
+      driver_.RunUntil([&] { return outcome.is_over() || is_late; });
+      driver_.loop.Cancel(limit);
+      EXPECT_TRUE(outcome.failed) << answer;
+      EXPECT_TRUE(outcome.sent) << answer;
+      EXPECT_EQ(outcome.failure, BackendFailure::kProtocol) << answer;
+      EXPECT_EQ(outcome.status, 0) << answer;
+      EXPECT_EQ(outcome.body, "") << answer;
+      server_.connection(before).Reset();
+      ASSERT_TRUE(WaitFor(outcome));
+      // The pool may have kept the connection.
+      driver_.RunFor(absl::Milliseconds(2));
+    }
+  }
+
   FakeServer server_;
   LoopDriver driver_;
   BackendConnectionPool pool_;
@@ -263,6 +296,16 @@
   }
 }
 
+// Guards against an answer that is taken for an interim one, so that its caller
+// waits until its time limit, and against a status that callers do not know.
+TEST_F(BackendConnectionTest, MalformedStatusFailsTheAttempt) {
+  ExpectProtocolFailures(AnswersWithMalformedStatus());
+}
+
+TEST_F(BackendConnectionTest, MalformedHeaderFailsTheAttempt) {
+  ExpectProtocolFailures(AnswersWithMalformedHeader());
+}
+
 TEST_F(BackendConnectionTest, InterimAnswersAreSkipped) {
   Outcome outcome;
   Send(&outcome);
--- /dev/null
+++ b/tests/unit/http/answer_head_validator_test.cc
@@ -0,0 +1,54 @@
+#include "camphorsail/http/answer_head_validator.h"
+
+#include <string>
+#include <vector>
+
+#include "gtest/gtest.h"
+#include "tests/fakes/http/malformed_heads.h"
+
+namespace camphorsail {
+namespace {
+
+bool IsValid(const std::string& answer) {
+  AnswerHeadValidator whole;
+  const bool is_valid = whole.Append(answer);
+  AnswerHeadValidator divided;
+  for (const char c : answer) {
+    divided.Append({&c, 1});
+  }
+  EXPECT_EQ(divided.error(), whole.error()) << answer;
+  EXPECT_EQ(is_valid, whole.error().empty());
+  return is_valid;
+}
+
+// Guards against a check that sound servers do not pass.
+TEST(AnswerHeadValidatorTest, ValidAnswersPass) {
+  for (const std::string& answer : std::vector<std::string>{
+           "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200\r\n\r\n",
+           "HTTP/1.1 200 \r\n\r\n", "HTTP/1.1 404 Not \xe9 Found\r\n\r\n",
+           "HTTP/1.1 599 Odd\r\nX-Odd:\r\nx-odd: \t a\tb \xe9 \r\n\r\n",
+           "HTTP/1.1 200 OK\nX: 1\nContent-Length: 2\n\nok",
+           "HTTP/1.1 200 OK\r\ncontent-length:2 \r\n\r\nok",
+           "HTTP/1.1 200 OK\r\nTRANSFER-ENCODING:  Chunked\r\n\r\n",
+           "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: "
+           "a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
+           // What follows the head is not checked.
+           "HTTP/1.1 200 OK\r\n\r\n : \x01\r\n"}) {
+    EXPECT_TRUE(IsValid(answer)) << answer;
+  }
+}
+
+TEST(AnswerHeadValidatorTest, MalformedAnswersDoNotPass) {
+  for (const auto& answers :
+       {AnswersWithMalformedStatus(), AnswersWithMalformedHeader()}) {
+    for (const std::string& answer : answers) {
+      EXPECT_FALSE(IsValid(answer)) << answer;
+    }
+  }
+  EXPECT_FALSE(IsValid("HTTP/1.1 101 Switching Protocols\r\n\r\n"));
+  EXPECT_FALSE(IsValid("\r\nHTTP/1.1 200 OK\r\n\r\n"));
+  EXPECT_FALSE(IsValid("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000\r\n\r\n"));
+}
+
+}  // namespace
+}  // namespace camphorsail
