Gateway: an answer must be framed by one length or by chunks alone

What callers saw: the bytes of a transfer coding as the body of a 200, when a server sent "Transfer-Encoding: gzip, chunked" or another list that ends with chunked (the chunks were decoded, the name of the other coding was dropped as a header of one connection), or a wait for the end of the connection with identity, gzip or an empty value. An interim answer with a length swallowed as many bytes of the final answer.

Cause: the parser reports chunks whatever stands before "chunked", and reads a body behind an interim answer; the gateway only counted the headers.

The fix: AnswerHeadValidator also checks the headers that determine the extent of a body: one length of digits, or chunked and nothing else, since the gateway asks for no other transfer coding; an interim answer has neither. The gateway's own count goes with it.

--- a/camphorsail/gateway/backend_connection.cc
+++ b/camphorsail/gateway/backend_connection.cc
@@ -104,11 +104,6 @@
     // An interim (1xx) answer.
     return ++self->interim_answers_ > kMaxInterimAnswers ? -1 : 0;
   }
-  const size_t framings = head.headers.Count("content-length") +
-                          head.headers.Count("transfer-encoding");
-  if (framings > 1) {
-    return -1;
-  }
   if (const std::string* value = head.headers.Find("keep-alive")) {
     self->keep_alive_ = ParseKeepAlive(*value);
   }
--- a/camphorsail/http/answer_head_validator.h
+++ b/camphorsail/http/answer_head_validator.h
@@ -2,6 +2,7 @@
 #define CAMPHORSAIL_HTTP_ANSWER_HEAD_VALIDATOR_H_
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace camphorsail {
@@ -9,7 +10,8 @@
 /// Checks the heads of the answers to one request, interim ones included,
 /// against the grammar of HTTP/1.1 (RFC 9112). The HTTP parsers in use accept
 /// more than the grammar: any number as status, blanks and control characters
-/// in names, and continued header lines.
+/// in names, continued header lines, and framing that another receiver would
+/// read in another way. Bounds its memory, so that a head may be of any length.
 class AnswerHeadValidator {
  public:
   /// @param data The next bytes of the answer, divided in any way. Bytes after
@@ -33,6 +35,7 @@
   void OnByte(char c);
   void OnStatusLineByte(char c);
   void OnLineEnd();
+  void OnHeaderEnd();
   void OnHeadEnd();
 
   State state_ = State::kStatusLine;
@@ -42,6 +45,11 @@
   /// Bytes of the status line so far.
   size_t status_line_size_ = 0;
   int status_ = 0;
+  /// Headers of the current head that determine the extent of the body.
+  int framings_ = 0;
+  /// The current header, as far as it can be one that is looked at.
+  std::string name_;
+  std::string value_;
 };
 
 }  // namespace camphorsail
--- a/tests/fakes/http/malformed_heads.h
+++ b/tests/fakes/http/malformed_heads.h
@@ -65,6 +65,39 @@
   return answers;
 }
 
+/// @param headers Lines of headers that each answer has besides.
+/// @return Answers whose headers do not tell the extent or the coding of the
+/// body.
+inline std::vector<std::string> AnswersWithMalformedFraming(
+    const std::string& headers = "") {
+  constexpr char kChunk[] = "\r\n2\r\nok\r\n0\r\n\r\n";
+  std::vector<std::string> answers;
+  for (const char* value : {"2, 2", "+2", "-2", "2x", "0x2", ""}) {
+    answers.push_back(absl::StrCat("HTTP/1.1 200 OK\r\n", headers,
+                                   "Content-Length: ", value, "\r\n\r\nok"));
+  }
+  answers.push_back(absl::StrCat("HTTP/1.1 200 OK\r\n", headers,
+                                 "Content-Length: 1\r\n", kTwoByteBody));
+  for (const char* value :
+       {"gzip, chunked", "chunked, chunked", "chunked, identity", "identity",
+        "odd, chunked", "gzip", "chunked;a=b", ""}) {
+    answers.push_back(absl::StrCat("HTTP/1.1 200 OK\r\n", headers,
+                                   "Transfer-Encoding: ", value, "\r\n",
+                                   kChunk));
+  }
+  answers.push_back(absl::StrCat(
+      "HTTP/1.1 200 OK\r\n", headers,
+      "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n", kChunk));
+  answers.push_back(absl::StrCat("HTTP/1.1 200 OK\r\n", headers,
+                                 "Transfer-Encoding: odd\r\n"
+                                 "Transfer-Encoding: chunked\r\n",
+                                 kChunk));
+  // An interim answer has no body.
+  answers.push_back(absl::StrCat("HTTP/1.1 102 Wait\r\n", kTwoByteBody,
+                                 "HTTP/1.1 200 OK\r\n", headers, kTwoByteBody));
+  return answers;
+}
+
 }  // namespace camphorsail
 
 #endif  // TESTS_FAKES_HTTP_MALFORMED_HEADS_H_
--- a/tests/unit/gateway/backend_connection_test.cc
+++ b/tests/unit/gateway/backend_connection_test.cc
@@ -306,6 +306,12 @@
   ExpectProtocolFailures(AnswersWithMalformedHeader());
 }
 
+// Guards against a body of another extent than the server's, or in a coding
+// that its receiver is not told of.
+TEST_F(BackendConnectionTest, MalformedFramingFailsTheAttempt) {
+  ExpectProtocolFailures(AnswersWithMalformedFraming());
+}
+
 TEST_F(BackendConnectionTest, InterimAnswersAreSkipped) {
   Outcome outcome;
   Send(&outcome);
--- a/tests/unit/http/answer_head_validator_test.cc
+++ b/tests/unit/http/answer_head_validator_test.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "gtest/gtest.h"
 #include "tests/fakes/http/malformed_heads.h"
 
@@ -40,7 +41,8 @@
 
 TEST(AnswerHeadValidatorTest, MalformedAnswersDoNotPass) {
   for (const auto& answers :
-       {AnswersWithMalformedStatus(), AnswersWithMalformedHeader()}) {
+       {AnswersWithMalformedStatus(), AnswersWithMalformedHeader(),
+        AnswersWithMalformedFraming()}) {
     for (const std::string& answer : answers) {
       EXPECT_FALSE(IsValid(answer)) << answer;
     }
@@ -50,5 +52,22 @@
   EXPECT_FALSE(IsValid("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000\r\n\r\n"));
 }
 
+// Guards against a value whose end is not looked at because it is long.
+TEST(AnswerHeadValidatorTest, LongValuesAreJudgedWhole) {
+  const std::string blanks(1000, ' ');
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  EXPECT_TRUE(IsValid(
+      absl::StrCat(head, "Content-Length: ", blanks, "2", blanks, "\r\n\r\n")));
+  EXPECT_FALSE(
+      IsValid(absl::StrCat(head, "Content-Length: 2", blanks, "3\r\n\r\n")));
+  EXPECT_FALSE(IsValid(
+      absl::StrCat(head, "Transfer-Encoding: chunked", blanks, ",x\r\n\r\n")));
+  EXPECT_FALSE(IsValid(absl::StrCat(
+      head, "Content-Length: ", std::string(1000, '1'), "\r\n\r\n")));
+  EXPECT_TRUE(
+      IsValid(absl::StrCat(head, "Content-Length", std::string(1000, 'x'),
+                           ": a\r\n", "Content-Length: 2\r\n\r\n")));
+}
+
 }  // namespace
 }  // namespace camphorsail
