Gateway: answers with status 204 and 304 end with their heads

What callers saw: a server that sent 204 with a length and a body made the gateway write that body behind a head without a length, where the caller reads the begin of its next answer. After a 304 with a length, which is valid, the gateway waited for a body that does not come.

Cause: http_parser decides by the headers; it skips the body only where the callback says so, which was done for HEAD only.

Evidence, on: BackendConnectionTest.AnswersWithoutABodyEndWithTheirHeads Value of: outcome.ended Actual: false Expected: true (204 and 304 without a body) outcome.body Which is: "stray" (204 and 304 with one)

The fix: both statuses skip the body, as RFC 9112 (6.3) says. Bytes behind the head are unsolicited: they end the connection, as they did before.

--- a/camphorsail/gateway/backend_connection.cc
+++ b/camphorsail/gateway/backend_connection.cc
@@ -31,6 +31,11 @@
 constexpr int kErrorAfterClose = EPIPE;
 /// Interim (1xx) answers that one request may get.
 constexpr int kMaxInterimAnswers = 16;
+/// Statuses of answers that end with their heads, whatever the headers say.
+constexpr unsigned int kNoContentStatus = 204;
+constexpr unsigned int kNotModifiedStatus = 304;
+/// Result of the parser's callback for an answer without a body.
+constexpr int kSkipBody = 1;
 
 /// @return Seconds of `timeout=N` in a `Keep-Alive` header.
 absl::Duration ParseKeepAlive(const std::string& value) {
@@ -112,7 +117,10 @@
   if (!self->handlers_.on_head(std::move(head))) {
     return -1;
   }
-  return self->is_head_ ? 1 : 0;
+  const bool has_no_body = self->is_head_ ||
+                           parser->status_code == kNoContentStatus ||
+                           parser->status_code == kNotModifiedStatus;
+  return has_no_body ? kSkipBody : 0;
 }
 
 int BackendConnection::OnBody(http_parser* parser,
--- a/tests/unit/gateway/backend_connection_test.cc
+++ b/tests/unit/gateway/backend_connection_test.cc
@@ -312,6 +312,30 @@
   ExpectProtocolFailures(AnswersWithMalformedFraming());
 }
 
+// Guards against bytes that the caller takes for its next answer, and against a
+// wait for a body that does not come: these answers end with their heads.
+TEST_F(BackendConnectionTest, AnswersWithoutABodyEndWithTheirHeads) {
+  for (const char* status : {"204 No Content", "304 Not Modified"}) {
+    for (const char* body : {"", "stray"}) {
+      Outcome outcome;
+      const size_t before = server_.connection_count();
+      Send(&outcome);
+      ASSERT_TRUE(driver_.RunUntil([&] {
+        return server_.connection_count() > before &&
+               server_.connection(before).Has("/one");
+      }));
+      server_.connection(before).Write(absl::StrCat(
+          "HTTP/1.1 ", status, "\r\nContent-Length: 5\r\n\r\n", body));
+      driver_.RunFor(absl::Milliseconds(20));
+      server_.connection(before).Reset();
+      ASSERT_TRUE(WaitFor(outcome));
+      EXPECT_TRUE(outcome.ended) << status << body;
+      EXPECT_EQ(outcome.body, "") << status << body;
+      driver_.RunFor(absl::Milliseconds(2));
+    }
+  }
+}
+
 TEST_F(BackendConnectionTest, InterimAnswersAreSkipped) {
   Outcome outcome;
   Send(&outcome);
