Entry: each call to a backend server gets a new libcurl handle

What callers saw: the daemon ended, with all its requests, when a server answered one request with a continued header line and a later one with an answer whose first header line begins with a blank.

Cause: BackendClient kept easy handles and cleared them with curl_easy_reset. libcurl 7.88.1 keeps a pointer to the last header of an answer in the handle, frees the header with the transfer, and appends a continued line to what the pointer says. A fault in the use of freed memory: which answers make it show depends on the allocator.

Evidence, on: BackendClientTest.ContinuedHeaderOfTheNextAnswerIsNotAppended free(): double free detected in tcache 2 and the test program is aborted (exit code 134).

The fix: a handle lives as long as its call, so that a first line that is continued meets no earlier header, and libcurl refuses it. Connections are kept by the multi handle and are reused as before. HttpCaller and camphorsailctl already make a handle for each call.

The listener of the test of HttpCaller moves to tests/fakes/http, as the tests of both clients use it. It answers each request by the bytes of that connection alone; the tests of HttpCaller check what they checked before.

--- a/camphorsail/http/backend_client.cc
+++ b/camphorsail/http/backend_client.cc
@@ -23,8 +23,6 @@
 // A transfer is aborted after this time without a transferred byte. It is
 // longer than the target time of every request class for a complete answer.
 constexpr long kNoProgressTimeoutSeconds = 300;
-// Idle easy handles that are kept for reuse.
-constexpr size_t kMaxIdleHandles = 256;
 // Idle connections that are kept for reuse.
 constexpr long kMaxIdleConnections = 1024;
 
@@ -63,9 +61,6 @@
   const uint64_t one = 1;
   (void)!write(wake_fd_, &one, sizeof(one));
   thread_.join();
-  for (CURL* easy : idle_handles_) {
-    curl_easy_cleanup(easy);
-  }
   curl_multi_cleanup(multi_);
   close(wake_fd_);
   close(epoll_fd_);
@@ -181,15 +176,6 @@
   return true;
 }
 
-CURL* BackendClient::TakeHandle() {
-  if (idle_handles_.empty()) {
-    return curl_easy_init();
-  }
-  CURL* easy = idle_handles_.back();
-  idle_handles_.pop_back();
-  return easy;
-}
-
 void BackendClient::StartTransfer(BackendCall call) {
   const RequestId request = call.attempt.request;
   if (const auto old = transfers_.find(request); old != transfers_.end()) {
@@ -201,7 +187,10 @@
   Transfer* transfer = owned.get();
   transfer->client = this;
   transfer->call = std::move(call);
-  transfer->easy = TakeHandle();
+  // A reused handle would keep a pointer to the last header of its previous
+  // answer. libcurl frees that header, and uses it when the next answer begins
+  // with a continued line.
+  transfer->easy = curl_easy_init();
   const BackendCall& sent = transfer->call;
   const std::string content_type =
       "Content-Type: " +
@@ -297,12 +286,7 @@
 void BackendClient::RemoveTransfer(Transfer* transfer) {
   curl_multi_remove_handle(multi_, transfer->easy);
   curl_slist_free_all(transfer->headers);
-  if (idle_handles_.size() < kMaxIdleHandles) {
-    curl_easy_reset(transfer->easy);
-    idle_handles_.push_back(transfer->easy);
-  } else {
-    curl_easy_cleanup(transfer->easy);
-  }
+  curl_easy_cleanup(transfer->easy);
   transfers_.erase(transfer->call.attempt.request);
 }
 
--- a/camphorsail/http/backend_client.h
+++ b/camphorsail/http/backend_client.h
@@ -74,7 +74,6 @@
   // Removes the finished transfers and delivers their end or failure events.
   void CollectFinishedTransfers();
   void RemoveTransfer(Transfer* transfer);
-  CURL* TakeHandle();
 
   const std::function<void(EntryEvent)> sink_;
   int epoll_fd_;
@@ -83,7 +82,6 @@
 
   /// Used on the client's thread only.
   absl::flat_hash_map<RequestId, std::unique_ptr<Transfer>> transfers_;
-  std::vector<CURL*> idle_handles_;
   /// Time at which libcurl's timer expires; infinite when it is not set.
   MonoTime timer_ = MonoTime::Infinite();
 
--- a/tests/unit/http/http_caller_test.cc
+++ b/tests/unit/http/http_caller_test.cc
@@ -15,6 +15,7 @@
 #include "absl/time/clock.h"
 #include "camphorsail/base/monotonic_clock.h"
 #include "gtest/gtest.h"
+#include "tests/fakes/http/answering_listener.h"
 
 namespace camphorsail {
 namespace {
@@ -23,101 +24,6 @@
 constexpr char kOk[] =
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}";
 
-/// Accepts connections on a loopback port, records what arrives and gives each
-/// request the same answer.
-class Listener {
- public:
-  /// @param answer Bytes of the answer; empty for none.
-  explicit Listener(std::string answer) : answer_(std::move(answer)) {
-    socket_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    auto* const generic = reinterpret_cast<sockaddr*>(&address);
-    EXPECT_EQ(bind(socket_, generic, size), 0);
-    EXPECT_EQ(listen(socket_, 8), 0);
-    EXPECT_EQ(getsockname(socket_, generic, &size), 0);
-    port_ = ntohs(address.sin_port);
-    thread_ = std::thread([this] { Run(); });
-  }
-  ~Listener() {
-    stop_.Notify();
-    thread_.join();
-    close(socket_);
-  }
-  Listener(const Listener&) = delete;
-  Listener& operator=(const Listener&) = delete;
-
-  std::string Url() const {
-    return absl::StrCat("http://127.0.0.1:", port_, "/usage");
-  }
-  int connections() {
-    absl::MutexLock lock(&mutex_);
-    return connections_;
-  }
-  std::string received() {
-    absl::MutexLock lock(&mutex_);
-    return received_;
-  }
-  /// @return True when the last connection was closed by the other side.
-  bool WaitForClose() {
-    absl::MutexLock lock(&mutex_);
-    return mutex_.AwaitWithTimeout(absl::Condition(&closed_),
-                                   absl::Seconds(10));
-  }
-
- private:
-  void Run() {
-    while (!stop_.HasBeenNotified()) {
-      if (IsReadable(socket_)) {
-        const int connection = accept(socket_, nullptr, nullptr);
-        Serve(connection);
-        close(connection);
-      }
-    }
-  }
-  void Serve(int connection) {
-    {
-      absl::MutexLock lock(&mutex_);
-      ++connections_;
-      closed_ = false;
-    }
-    bool answered = false;
-    while (!stop_.HasBeenNotified()) {
-      if (!IsReadable(connection)) {
-        continue;
-      }
-      char buffer[4096];
-      const ssize_t size = recv(connection, buffer, sizeof(buffer), 0);
-      absl::MutexLock lock(&mutex_);
-      if (size <= 0) {
-        closed_ = true;
-        return;
-      }
-      received_.append(buffer, static_cast<size_t>(size));
-      if (!answered && !answer_.empty() && absl::EndsWith(received_, "body")) {
-        answered = true;
-        send(connection, answer_.data(), answer_.size(), MSG_NOSIGNAL);
-      }
-    }
-  }
-  static bool IsReadable(int socket) {
-    pollfd readable = {socket, POLLIN, 0};
-    return poll(&readable, 1, 10) > 0;
-  }
-
-  const std::string answer_;
-  int socket_ = -1;
-  int port_ = 0;
-  absl::Notification stop_;
-  absl::Mutex mutex_;
-  int connections_ ABSL_GUARDED_BY(mutex_) = 0;
-  std::string received_ ABSL_GUARDED_BY(mutex_);
-  bool closed_ ABSL_GUARDED_BY(mutex_) = false;
-  std::thread thread_;
-};
-
 HttpCall MakeCall(const std::string& url) {
   HttpCall call;
   call.url = url;
@@ -145,7 +51,7 @@
 // Guards against a request that lacks a header or its body, and against a
 // request that asks for "100 Continue": it may be sent twice.
 TEST(HttpCallerTest, SendsTheRequestOnce) {
-  Listener listener(kOk);
+  AnsweringListener listener({kOk});
   const auto result = Post(MakeCall(listener.Url()));
   ASSERT_TRUE(result.has_value());
   EXPECT_TRUE(result->may_have_been_sent);
@@ -170,7 +76,7 @@
             307},
            {"HTTP/1.1 429 Busy\r\nRetry-After: 0\r\nContent-Length: 0\r\n\r\n",
             429}}) {
-    Listener listener(answer);
+    AnsweringListener listener({answer});
     HttpCall call = MakeCall(listener.Url());
     call.body = std::string(2'000'000, ' ') + "body";
     const auto result = Post(std::move(call));
@@ -183,7 +89,7 @@
 
 // Guards against a call of a process that was suspended past its lease.
 TEST(HttpCallerTest, WritesNothingAfterTheTimeToSend) {
-  Listener listener(kOk);
+  AnsweringListener listener({kOk});
   HttpCall call = MakeCall(listener.Url());
   call.send_before = MonotonicNow();
   auto result = Post(std::move(call));
@@ -245,7 +151,7 @@
 // Guards against a connection that stays open after the deadline: the provider
 // could take the call later.
 TEST(HttpCallerTest, ClosesTheConnectionAtTheDeadline) {
-  Listener listener("");
+  AnsweringListener listener({""});
   HttpCall call = MakeCall(listener.Url());
   const MonoTime start = MonotonicNow();
   call.deadline = start + absl::Milliseconds(200);
@@ -266,7 +172,7 @@
        {absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n",
                      std::string(5000, 'x')),
         std::string("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nxx")}) {
-    Listener listener(answer);
+    AnsweringListener listener({answer});
     HttpCall call = MakeCall(listener.Url());
     call.deadline = MonotonicNow() + absl::Milliseconds(500);
     const auto result = Post(std::move(call));
@@ -282,7 +188,7 @@
 TEST(HttpCallerTest, RefusedConnectionSendsNothing) {
   std::string url;
   {
-    Listener listener("");
+    AnsweringListener listener({""});
     url = listener.Url();
   }
   const auto result = Post(MakeCall(url));
