Entry: an answer whose head is not valid HTTP/1.1 is no answer

What callers saw: 200 with the body, when the name of a header held a blank, a tab, a control character or a byte above 0x7f, when a blank stood before the colon, when a value held a control character, or when a header was continued; statuses of 600 and above as they came. Requests that must not run twice had such an answer recorded as their outcome.

Cause: libcurl passes on what it does not understand, and BackendClient read only the status, the content type and the body. libcurl itself refuses statuses below 100 and of four digits: these reached no caller before.

The fix: libcurl hands each line of the head to AnswerHeadValidator, which the gateway uses too, and the transfer fails at the first invalid one, before a byte of the body is delivered. The attempt counts as sent: the request is tried again where it may run again, and is "outcome_unknown" otherwise. The reason is in the log line of the attempt.

--- a/camphorsail/http/backend_client.cc
+++ b/camphorsail/http/backend_client.cc
@@ -11,6 +11,7 @@
 
 #include "absl/time/time.h"
 #include "camphorsail/base/monotonic_clock.h"
+#include "camphorsail/http/answer_head_callback.h"
 
 namespace camphorsail {
 namespace {
@@ -220,6 +221,7 @@
   curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, kReadBytes);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnData);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+  ValidateAnswerHead(easy, &transfer->head_validator);
   curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
   // libcurl sends a request again by itself when a reused connection closes
   // before the answer, although the server may have run the request. A new
@@ -278,8 +280,9 @@
         code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
         code == CURLE_URL_MALFORMAT ||
         (code == CURLE_OPERATION_TIMEDOUT && pretransfer_us == 0);
+    std::string reason = FailureReason(code, transfer->head_validator);
     RemoveTransfer(transfer);
-    sink_(BackendFailureEvent{attempt, !not_sent, curl_easy_strerror(code)});
+    sink_(BackendFailureEvent{attempt, !not_sent, std::move(reason)});
   }
 }
 
--- a/camphorsail/http/backend_client.h
+++ b/camphorsail/http/backend_client.h
@@ -12,6 +12,7 @@
 #include "absl/synchronization/mutex.h"
 #include "camphorsail/base/mono_time.h"
 #include "camphorsail/entry/entry_event.h"
+#include "camphorsail/http/answer_head_validator.h"
 #include "camphorsail/http/backend_call.h"
 
 namespace camphorsail {
@@ -44,6 +45,7 @@
     BackendCall call;
     CURL* easy = nullptr;
     curl_slist* headers = nullptr;
+    AnswerHeadValidator head_validator;
     bool headers_reported = false;
     bool paused = false;
   };
--- a/tests/process/broken_answers_test.py
+++ b/tests/process/broken_answers_test.py
@@ -1,11 +1,13 @@
-"""Answers of backend servers that are not valid, as callers see them at a gateway."""
+"""Answers of backend servers that are not valid, as callers see them at a gateway and at an entry."""
 
 import json
 import sys
+import tempfile
 import threading
 import time
 import unittest
 
+import path_harness
 from gateway_fleet import GatewayFleet, wait_until
 from raw_server import RawServer, read_body
 
@@ -96,5 +98,72 @@
                         self.assertLess(took, AT_ONCE_S)
 
 
+class EntryTest(unittest.TestCase):
+    ONCE = {"X-Camphorsail-Idempotent": "false"}
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.fleet = path_harness.Fleet(BINARIES, folder.name)
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start_daemon()
+        self.answers = 0
+        self.answered_at = 0.0
+        self.server = RawServer(self.answer)
+        self.addCleanup(self.server.stop)
+        threading.Thread(target=self.announce, args=("service", "svc"), daemon=True).start()
+        path_harness.wait_for(lambda: self.ask("sound").status == 200, "the service")
+
+    def announce(self, kind, target):
+        sequence = 0
+        headers = {"X-Camphorsail-Secret": path_harness.SECRET, "Content-Type": "application/json"}
+        while not self.server.stopped.wait(0.2):
+            sequence += 1
+            body = {"id": f"raw-{kind}", "incarnation": 1, "sequence": sequence, "address": f"127.0.0.1:{self.server.port}",
+                    "failure_domain": "fd1", "kind": kind, "targets": [target], "capacity": 8,
+                    "checks_fencing_tokens": True, "leaving": False, "running": 0, "waiting": 0, "kv_usage": 0.0,
+                    "cached_blocks": [], "evicted_blocks": [], "cache_gap": False, "age_ms": 0}
+            path_harness.exchange(self.fleet.backends_port, path_harness.request_bytes(
+                "POST", "/backend/v1/announce", headers, json.dumps(body).encode()))
+
+    def answer(self, connection, path, headers, body):
+        self.answers += 1
+        kind = path.rsplit("/", 1)[1]
+        if kind in MALFORMED_HEADS or (kind.startswith("once-") and self.answers == 1):
+            read_body(connection, headers, body)
+            head = MALFORMED_HEADS[kind.removeprefix("once-")]
+            self.answered_at = time.monotonic()
+            connection.sendall(f"{head}{SHORT_BODY}".encode())
+            connection.recv(1)
+        else:
+            read_body(connection, headers, body)
+            connection.sendall(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nsound")
+
+    def ask(self, kind, body=b"x", headers=None):
+        self.answers = 0
+        return self.fleet.post(f"/v1/services/svc/{kind}", body, headers)
+
+    def check_failure(self, kind, size):
+        answer = self.ask(kind, b"x" * size, self.ONCE)
+        took = time.monotonic() - self.answered_at
+        self.assertEqual((answer.status, json.loads(answer.body)["error"]["code"]), (409, "outcome_unknown"))
+        self.assertLess(took, AT_ONCE_S)
+        # Otherwise the router would suspend the server for longer after each failure.
+        self.assertEqual(self.ask("sound").status, 200)
+
+    def test_malformed_head_is_no_answer(self):
+        for kind in MALFORMED_HEADS:
+            for size in (1, 10, LARGE_BYTES):
+                with self.subTest(kind=kind, size=size):
+                    self.check_failure(kind, size)
+        self.assertIsNone(self.fleet.daemon.process.poll())
+
+    def test_request_that_may_run_again_gets_the_next_answer(self):
+        for kind in MALFORMED_HEADS:
+            with self.subTest(kind=kind):
+                answer = self.ask(f"once-{kind}")
+                self.assertEqual((answer.status, answer.body), (200, b"sound"))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/http/backend_client_test.cc
+++ b/tests/unit/http/backend_client_test.cc
@@ -46,6 +46,16 @@
                                         absl::Seconds(30)));
     return outcome_;
   }
+  void ExpectFailures(const std::vector<std::string>& answers) {
+    for (const std::string& answer : answers) {
+      AnsweringListener listener({answer});
+      const Outcome outcome = Call(listener.Url());
+      ASSERT_TRUE(outcome.failure.has_value()) << answer;
+      EXPECT_TRUE(outcome.failure->sent) << answer;
+      EXPECT_EQ(outcome.status, 0) << answer;
+      EXPECT_EQ(outcome.body, "") << answer;
+    }
+  }
 
  private:
   void OnEvent(EntryEvent event) {
@@ -83,6 +93,18 @@
   EXPECT_EQ(outcome.body, "ok");
 }
 
+TEST_F(BackendClientTest, MalformedStatusFailsTheCall) {
+  ExpectFailures(AnswersWithMalformedStatus());
+}
+
+TEST_F(BackendClientTest, MalformedHeaderFailsTheCall) {
+  ExpectFailures(AnswersWithMalformedHeader());
+}
+
+TEST_F(BackendClientTest, MalformedFramingFailsTheCall) {
+  ExpectFailures(AnswersWithMalformedFraming());
+}
+
 // Guards against a process that ends because libcurl appends the line to a
 // header of an earlier answer, which it has freed.
 TEST_F(BackendClientTest, ContinuedHeaderOfTheNextAnswerIsNotAppended) {
