Provider and engine orders: an answer whose head is not valid HTTP/1.1 is no answer

What operators would see: a usage report or an order of servers taken as accepted, and an engine order as ended, on a 200 whose head holds a malformed header or framing. No stand-in of ours sent one before.

Cause: as on the entry path; HttpCaller reported the status that libcurl had read.

Evidence, on: HttpCallerTest.MalformedAnswerHasNoStatus, 46 of 78 answers have a status, for example Expected equality of these values: result->status Which is: 200 0 HTTP/1.1 200 OK X Odd: 1

The fix: the same check in HttpCaller. Such a call has status 0 and "may have been sent", so the provider's outcome is unknown and an engine order is not taken as ended, as after a lost answer. Both are logged where they were logged before.

--- a/camphorsail/http/http_caller.cc
+++ b/camphorsail/http/http_caller.cc
@@ -9,6 +9,7 @@
 
 #include "absl/time/time.h"
 #include "camphorsail/base/monotonic_clock.h"
+#include "camphorsail/http/answer_head_callback.h"
 
 namespace camphorsail {
 namespace {
@@ -110,6 +111,7 @@
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnData);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+  ValidateAnswerHead(easy, &transfer->head_validator);
   transfers_.emplace(easy, std::move(transfer));
   curl_multi_add_handle(multi_, easy);
 }
--- a/camphorsail/http/http_caller.h
+++ b/camphorsail/http/http_caller.h
@@ -14,6 +14,7 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "camphorsail/base/mono_time.h"
+#include "camphorsail/http/answer_head_validator.h"
 
 namespace camphorsail {
 
@@ -34,7 +35,7 @@
 struct HttpCallResult {
   /// False when the request was certainly not written to the connection.
   bool may_have_been_sent = false;
-  /// HTTP status; 0 without a complete answer.
+  /// HTTP status; 0 without a complete and valid answer.
   int status = 0;
   std::string body;
 };
@@ -64,6 +65,7 @@
     Done done;
     size_t max_answer_bytes = 0;
     curl_slist* headers = nullptr;
+    AnswerHeadValidator head_validator;
     HttpCallResult result;
 
     Transfer() = default;
--- a/tests/unit/http/http_caller_test.cc
+++ b/tests/unit/http/http_caller_test.cc
@@ -16,6 +16,7 @@
 #include "camphorsail/base/monotonic_clock.h"
 #include "gtest/gtest.h"
 #include "tests/fakes/http/answering_listener.h"
+#include "tests/fakes/http/malformed_heads.h"
 
 namespace camphorsail {
 namespace {
@@ -183,6 +184,21 @@
   }
 }
 
+// Guards against a malformed answer that is taken for a confirmation.
+TEST(HttpCallerTest, MalformedAnswerHasNoStatus) {
+  for (const auto& answers :
+       {AnswersWithMalformedStatus(), AnswersWithMalformedHeader(),
+        AnswersWithMalformedFraming()}) {
+    for (const std::string& answer : answers) {
+      AnsweringListener listener({answer});
+      const auto result = Post(MakeCall(listener.Url()));
+      ASSERT_TRUE(result.has_value());
+      EXPECT_TRUE(result->may_have_been_sent);
+      EXPECT_EQ(result->status, 0) << answer;
+    }
+  }
+}
+
 // Guards against a call that is counted as perhaps sent although nothing
 // listens.
 TEST(HttpCallerTest, RefusedConnectionSendsNothing) {
