camphorsailctl: a malformed answer is a lost answer

What operators saw: a change shown as made on a 200 whose head was malformed, and, behind a malformed status line such as 000, an error as if the request had never been sent, although the VM may have carried it out. Only a lost answer makes camphorsailctl send a change again under its id.

Cause: libcurl uses the same error for a URL with an unknown protocol and for a status line that it refuses; AdminClient took it for an error before the connection. Malformed headers were not looked at.

The fix: the check of the other clients in AdminClient; an unsupported protocol counts as not sent only when no connection was made.

--- a/ctl/admin_client.cc
+++ b/ctl/admin_client.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "camphorsail/http/answer_head_callback.h"
 
 namespace camphorsail::ctl {
 namespace {
@@ -31,8 +32,7 @@
 /// sent.
 bool IsErrorBeforeSending(CURLcode code) {
   return code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
-         code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL ||
-         code == CURLE_SSL_CONNECT_ERROR;
+         code == CURLE_URL_MALFORMAT || code == CURLE_SSL_CONNECT_ERROR;
 }
 
 }  // namespace
@@ -42,6 +42,7 @@
 
 AdminResponse AdminClient::Call(const AdminRequest& request) {
   AdminResponse response;
+  AnswerHeadValidator head_validator;
   const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> curl(
       curl_easy_init(), curl_easy_cleanup);
   if (curl == nullptr) {
@@ -66,6 +67,7 @@
   curl_easy_setopt(curl.get(), CURLOPT_TIMEOUT_MS, kTotalTimeoutMs);
   curl_easy_setopt(curl.get(), CURLOPT_WRITEFUNCTION, AppendBody);
   curl_easy_setopt(curl.get(), CURLOPT_WRITEDATA, &response.body);
+  ValidateAnswerHead(curl.get(), &head_validator);
   if (request.method == "POST") {
     curl_easy_setopt(curl.get(), CURLOPT_POSTFIELDSIZE,
                      static_cast<long>(request.body.size()));
@@ -81,12 +83,14 @@
   }
   double connect_seconds = 0;
   curl_easy_getinfo(curl.get(), CURLINFO_CONNECT_TIME, &connect_seconds);
-  const bool never_connected =
-      code == CURLE_OPERATION_TIMEDOUT && connect_seconds == 0;
+  // libcurl reports an unsupported protocol for a URL and for a status line.
+  const bool never_connected = (code == CURLE_OPERATION_TIMEDOUT ||
+                                code == CURLE_UNSUPPORTED_PROTOCOL) &&
+                               connect_seconds == 0;
   response.outcome = IsErrorBeforeSending(code) || never_connected
                          ? AdminOutcome::kNotSent
                          : AdminOutcome::kAnswerLost;
-  response.error = curl_easy_strerror(code);
+  response.error = FailureReason(code, head_validator);
   return response;
 }
 
--- a/tests/unit/ctl/admin_client_test.cc
+++ b/tests/unit/ctl/admin_client_test.cc
@@ -13,6 +13,7 @@
 
 #include "camphorsail/net/tcp_socket.h"
 #include "gtest/gtest.h"
+#include "tests/fakes/http/malformed_heads.h"
 
 namespace camphorsail::ctl {
 namespace {
@@ -102,6 +103,22 @@
   EXPECT_NE(request.find("\r\n\r\n{\"a\":1}\n"), std::string::npos);
 }
 
+// Guards against a malformed answer that is shown as the VM's.
+TEST(AdminClientTest, MalformedAnswerIsLost) {
+  for (const auto& answers :
+       {AnswersWithMalformedStatus(), AnswersWithMalformedHeader(),
+        AnswersWithMalformedFraming()}) {
+    for (const std::string& answer : answers) {
+      OneShotServer server({answer});
+      AdminClient client(server.url(), "s");
+      const AdminResponse response = client.Call({"GET", "/x", ""});
+      EXPECT_EQ(response.outcome, AdminOutcome::kAnswerLost) << answer;
+      EXPECT_EQ(response.status, 0) << answer;
+      EXPECT_NE(response.error, "") << answer;
+    }
+  }
+}
+
 // Guards against treating a request that no VM received as possibly executed,
 // or the other way round: only a request that may have been executed is sent
 // again.
