Entry: an answer with a content coding is no answer

What callers saw: 200 with encoded bytes as the body and no header that says so, when a server answered with a Content-Encoding, which no request asked for.

Cause: the entry path passes on status, content type and body of an answer only, and sent no Accept-Encoding, without which a server may choose a coding.

Evidence, on: BackendClientTest.ContentCodingFailsTheCall Value of: outcome.failure.has_value() Actual: false Expected: true HTTP/1.1 200 OK

The fix: requests say "Accept-Encoding: identity", and a body with another coding fails the attempt before its first byte is delivered.

--- a/camphorsail/http/answer_head_validator.cc
+++ b/camphorsail/http/answer_head_validator.cc
@@ -12,7 +12,7 @@
 /// Size of `HTTP/1.1 200`; a reason phrase may follow.
 constexpr size_t kMinStatusLineSize = kProtocol.size() + 5;
 /// Bytes that are kept of a name or value. No valid header that is looked at is
-/// longer.
+/// longer, except a list of content codings.
 constexpr size_t kMaxKeptBytes = 32;
 /// Bounds of the statuses of HTTP.
 constexpr int kMinHttpStatus = 100;
@@ -168,6 +168,8 @@
     ++framings_;
     // Other codings may only be sent to receivers that ask for them.
     is_valid = absl::EqualsIgnoreCase(value, "chunked");
+  } else if (absl::EqualsIgnoreCase(name_, "content-encoding")) {
+    has_content_coding_ |= !absl::EqualsIgnoreCase(value, "identity");
   }
   if (!is_valid || framings_ > 1) {
     error_ = kMalformedFraming;
@@ -185,6 +187,7 @@
     return;
   }
   state_ = State::kStatusLine;
+  has_content_coding_ = false;
   status_line_size_ = 0;
   status_ = 0;
 }
--- a/camphorsail/http/answer_head_validator.h
+++ b/camphorsail/http/answer_head_validator.h
@@ -21,6 +21,8 @@
 
   /// @return Why the head is not valid; empty while it is.
   std::string_view error() const { return error_; }
+  /// @return True when the body has a content coding other than `identity`.
+  bool has_content_coding() const { return has_content_coding_; }
 
  private:
   enum class State : uint8_t {
@@ -47,6 +49,7 @@
   int status_ = 0;
   /// Headers of the current head that determine the extent of the body.
   int framings_ = 0;
+  bool has_content_coding_ = false;
   /// The current header, as far as it can be one that is looked at.
   std::string name_;
   std::string value_;
--- a/camphorsail/http/backend_client.cc
+++ b/camphorsail/http/backend_client.cc
@@ -27,6 +27,8 @@
 // Idle connections that are kept for reuse.
 constexpr long kMaxIdleConnections = 1024;
 
+constexpr char kContentCoding[] = "the answer has a content coding";
+
 // Sets up libcurl's global state, once, before any thread uses it.
 void InitializeCurl() {
   static const CURLcode done = curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -200,6 +202,9 @@
   // Without this header libcurl waits for "100 Continue" before it sends larger
   // bodies.
   transfer->headers = curl_slist_append(transfer->headers, "Expect:");
+  // The caller does not learn of a content coding.
+  transfer->headers =
+      curl_slist_append(transfer->headers, "Accept-Encoding: identity");
   CURL* easy = transfer->easy;
   curl_easy_setopt(easy, CURLOPT_URL, sent.url.c_str());
   curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
@@ -248,6 +253,9 @@
   if (transfer->paused) {
     return CURL_WRITEFUNC_PAUSE;
   }
+  if (transfer->head_validator.has_content_coding()) {
+    return 0;
+  }
   transfer->client->ReportHeaders(transfer);
   transfer->client->sink_(BackendDataEvent{transfer->call.attempt,
                                            std::string(data, size * count)});
@@ -280,7 +288,9 @@
         code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
         code == CURLE_URL_MALFORMAT ||
         (code == CURLE_OPERATION_TIMEDOUT && pretransfer_us == 0);
-    std::string reason = FailureReason(code, transfer->head_validator);
+    std::string reason = transfer->head_validator.has_content_coding()
+                             ? kContentCoding
+                             : FailureReason(code, transfer->head_validator);
     RemoveTransfer(transfer);
     sink_(BackendFailureEvent{attempt, !not_sent, std::move(reason)});
   }
--- a/tests/unit/http/answer_head_validator_test.cc
+++ b/tests/unit/http/answer_head_validator_test.cc
@@ -1,6 +1,7 @@
 #include "camphorsail/http/answer_head_validator.h"
 
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
@@ -52,6 +53,23 @@
   EXPECT_FALSE(IsValid("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000\r\n\r\n"));
 }
 
+TEST(AnswerHeadValidatorTest, CodingOfTheFinalAnswerCounts) {
+  for (const auto& [headers, is_coded] :
+       std::vector<std::pair<std::string, bool>>{
+           {"", false},
+           {"Content-Encoding: Identity\r\n", false},
+           {"CONTENT-ENCODING:gzip \r\n", true},
+           {"Content-Encoding: gzip\r\nContent-Encoding: identity\r\n",
+            true}}) {
+    AnswerHeadValidator validator;
+    EXPECT_TRUE(validator.Append(
+        absl::StrCat("HTTP/1.1 103 Early Hints\r\nContent-Encoding: br\r\n\r\n"
+                     "HTTP/1.1 200 OK\r\n",
+                     headers, "\r\n")));
+    EXPECT_EQ(validator.has_content_coding(), is_coded) << headers;
+  }
+}
+
 // Guards against a value whose end is not looked at because it is long.
 TEST(AnswerHeadValidatorTest, LongValuesAreJudgedWhole) {
   const std::string blanks(1000, ' ');
--- a/tests/unit/http/backend_client_test.cc
+++ b/tests/unit/http/backend_client_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "absl/base/thread_annotations.h"
+#include "absl/strings/match.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
 #include "gtest/gtest.h"
@@ -105,6 +106,19 @@
   ExpectFailures(AnswersWithMalformedFraming());
 }
 
+// Guards against encoded bytes that the caller reads as the body, because it
+// does not learn of the content coding.
+TEST_F(BackendClientTest, ContentCodingFailsTheCall) {
+  ExpectFailures({"HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n" +
+                  std::string(kTwoByteBody)});
+  AnsweringListener listener(
+      {"HTTP/1.1 200 OK\r\nContent-Encoding: identity\r\n" +
+       std::string(kTwoByteBody)});
+  EXPECT_EQ(Call(listener.Url()).body, "ok");
+  EXPECT_TRUE(absl::StrContains(listener.received(),
+                                "\r\nAccept-Encoding: identity\r\n"));
+}
+
 // Guards against a process that ends because libcurl appends the line to a
 // header of an earlier answer, which it has freed.
 TEST_F(BackendClientTest, ContinuedHeaderOfTheNextAnswerIsNotAppended) {
