Tests of early answers that are reset, and of malformed answers between VMs

A server answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection while the upload is still being written: broken_answers_test at a gateway (plain routes that may and may not run again, streaming routes that can and cannot be resumed, uploads of 1 B, 10 B and 3 MB, reset at once or 100 ms later) and at an entry (services and engine streams), BackendClientTest.EarlyAnswerThatIsResetFailsTheCall, HttpCallerTest.EarlyAnswerThatIsResetHasNoStatus. No caller gets the part as a whole answer; a stream that can be resumed goes on at the other server with each event once.

Between VMs: PeerAuthenticationTest.MalformedAnswerEndsTheConnection sends the right proof behind a status of 000, 20, 0200 or 600, or with a malformed header. nghttp2 refuses all but 000 and 600, OutboundConnection all but 200.

--- a/tests/process/broken_answers_test.py
+++ b/tests/process/broken_answers_test.py
@@ -1,4 +1,4 @@
-"""Answers of backend servers that are not valid, as callers see them at a gateway and at an entry."""
+"""Answers of backend servers that are not valid or are cut off, as callers see them at a gateway and at an entry."""
 
 import json
 import sys
@@ -9,12 +9,14 @@
 
 import path_harness
 from gateway_fleet import GatewayFleet, wait_until
-from raw_server import RawServer, read_body
+from raw_server import RawServer, read_body, reset
 
 BINARIES = sys.argv.pop(1)
 # A failed attempt is reported at once. The routes and classes allow at least 4 s.
 AT_ONCE_S = 2.0
 LARGE_BYTES = 3 << 20
+# Time in which the caller's side fills the buffers of a connection, in seconds.
+FILL_S = 0.1
 
 MALFORMED_HEADS = {
     "status-000": "HTTP/1.1 000 Odd\r\n",
@@ -69,6 +71,7 @@
     def answer(cls, connection, path, headers, body):
         """Answers as the last part of the path says."""
         kind = path.rsplit("/", 1)[1]
+        resumed = "last-event-id" in headers
         first = int(headers.get("last-event-id", -1)) + 1
         more = f"Request-Id: {headers['request-id']}\r\nResponse-Signature: s.{headers['request-id']}\r\n"
         ok = f"HTTP/1.1 200 OK\r\n{more}".encode()
@@ -77,6 +80,14 @@
             connection.sendall(f"{MALFORMED_HEADS[kind]}{more}{SHORT_BODY}".encode())
             # The end of the connection must not be what shows that the answer is not valid.
             connection.recv(1)
+        elif kind == "cut" or (kind == "cut-once" and not resumed):
+            # Without a length, and in front of the rest of the request. Events are whole.
+            connection.sendall(ok + b"\r\n" + events(first, first + 3))
+            time.sleep(FILL_S)
+            reset(connection)
+        elif kind == "cut-at-once":
+            connection.sendall(ok + b"\r\n" + events(first, first + 3))
+            reset(connection)
         else:
             read_body(connection, headers, body)
             connection.sendall(ok + b"\r\n" + events(first, cls.EVENTS))
@@ -97,9 +108,27 @@
                         self.assertEqual(status, 502, text)
                         self.assertLess(took, AT_ONCE_S)
 
+    # Guards against a part of an answer that looks whole: its connection is reset while the request is still being
+    # written.
+    def test_early_answer_that_is_reset_is_not_whole(self):
+        for kind in ("cut", "cut-at-once"):
+            for route in ("safe", "unsafe", "stream", "once"):
+                for size in (1, 10, LARGE_BYTES):
+                    with self.subTest(kind=kind, route=route, size=size):
+                        status, text, is_whole, _ = self.ask(f"/{route}/{kind}", "x" * size)
+                        self.assertTrue(status == 502 or (status == 200 and not is_whole), (status, text, is_whole))
+
+    # Guards against events that are lost or doubled where a stream is resumed after such an answer.
+    def test_stream_is_resumed_after_an_early_answer_that_is_reset(self):
+        for size in (1, LARGE_BYTES):
+            status, text, is_whole, _ = self.ask("/stream/cut-once", "x" * size)
+            self.assertEqual((status, is_whole), (200, True))
+            self.assertEqual(text.encode(), events(0, self.EVENTS))
+
 
 class EntryTest(unittest.TestCase):
     ONCE = {"X-Camphorsail-Idempotent": "false"}
+    TOKENS = b"".join(b'data: {"id":"c","choices":[{"index":0,"delta":{"content":"t%d "}}]}\n\n' % i for i in range(3))
 
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -111,7 +140,8 @@
         self.answered_at = 0.0
         self.server = RawServer(self.answer)
         self.addCleanup(self.server.stop)
-        threading.Thread(target=self.announce, args=("service", "svc"), daemon=True).start()
+        for kind, target in (("service", "svc"), ("model", "menu-plan")):
+            threading.Thread(target=self.announce, args=(kind, target), daemon=True).start()
         path_harness.wait_for(lambda: self.ask("sound").status == 200, "the service")
 
     def announce(self, kind, target):
@@ -128,6 +158,12 @@
 
     def answer(self, connection, path, headers, body):
         self.answers += 1
+        if path.startswith("/v1/chat/"):
+            # Without a length, and in front of the rest of the request. Events are whole.
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + self.TOKENS)
+            time.sleep(FILL_S)
+            reset(connection)
+            return
         kind = path.rsplit("/", 1)[1]
         if kind in MALFORMED_HEADS or (kind.startswith("once-") and self.answers == 1):
             read_body(connection, headers, body)
@@ -135,6 +171,11 @@
             self.answered_at = time.monotonic()
             connection.sendall(f"{head}{SHORT_BODY}".encode())
             connection.recv(1)
+        elif kind.startswith("cut"):
+            self.answered_at = time.monotonic()
+            connection.sendall(b"HTTP/1.1 200 OK\r\n\r\n" + b"p" * int(kind.removeprefix("cut")))
+            time.sleep(FILL_S)
+            reset(connection)
         else:
             read_body(connection, headers, body)
             connection.sendall(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nsound")
@@ -164,6 +205,20 @@
                 answer = self.ask(f"once-{kind}")
                 self.assertEqual((answer.status, answer.body), (200, b"sound"))
 
+    def test_early_answer_that_is_reset_is_not_whole(self):
+        for part in (12, 200_000):
+            for size in (1, 10, LARGE_BYTES):
+                with self.subTest(part=part, size=size):
+                    self.check_failure(f"cut{part}", size)
+
+    def test_stream_that_is_reset_is_not_whole(self):
+        self.fleet.wait_for_models(["menu-plan"])
+        for size in (1, 10, LARGE_BYTES):
+            with self.subTest(size=size):
+                answer = self.fleet.chat("soup", stream=True, headers=self.ONCE, metadata="x" * size)
+                self.assertEqual(answer.status, 200, answer.body)
+                self.assertEqual(json.loads(answer.events()[-1])["error"]["code"], "stream_cut")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/http/backend_client_test.cc
+++ b/tests/unit/http/backend_client_test.cc
@@ -119,6 +119,21 @@
                                 "\r\nAccept-Encoding: identity\r\n"));
 }
 
+// Guards against a part of an answer that is taken for whole: the connection is
+// reset behind an answer without a length while the request is still being
+// written.
+TEST_F(BackendClientTest, EarlyAnswerThatIsResetFailsTheCall) {
+  for (const size_t part : {12U, 200'000U}) {
+    AnsweringListener listener(
+        {"HTTP/1.1 200 OK\r\n\r\n" + std::string(part, 'p')},
+        AnsweringListener::Manner::kEarlyThenReset);
+    const Outcome outcome =
+        Call(listener.Url(), std::string(64 << 20, ' ') + "body");
+    ASSERT_TRUE(outcome.failure.has_value());
+    EXPECT_TRUE(outcome.failure->sent);
+  }
+}
+
 // Guards against a process that ends because libcurl appends the line to a
 // header of an earlier answer, which it has freed.
 TEST_F(BackendClientTest, ContinuedHeaderOfTheNextAnswerIsNotAppended) {
--- a/tests/unit/http/http_caller_test.cc
+++ b/tests/unit/http/http_caller_test.cc
@@ -199,6 +199,19 @@
   }
 }
 
+// Guards against a confirmation that was cut: the connection is reset behind an
+// answer without a length while the call is still being written.
+TEST(HttpCallerTest, EarlyAnswerThatIsResetHasNoStatus) {
+  AnsweringListener listener({"HTTP/1.1 200 OK\r\n\r\npart"},
+                             AnsweringListener::Manner::kEarlyThenReset);
+  HttpCall call = MakeCall(listener.Url());
+  call.body = std::string(64 << 20, ' ') + "body";
+  const auto result = Post(std::move(call));
+  ASSERT_TRUE(result.has_value());
+  EXPECT_TRUE(result->may_have_been_sent);
+  EXPECT_EQ(result->status, 0);
+}
+
 // Guards against a call that is counted as perhaps sent although nothing
 // listens.
 TEST(HttpCallerTest, RefusedConnectionSendsNothing) {
--- a/tests/unit/peer/peer_authentication_test.cc
+++ b/tests/unit/peer/peer_authentication_test.cc
@@ -181,5 +181,65 @@
   close(listen_fd);
 }
 
+// Guards against a connection that is used although its answer is malformed.
+// The last answer shows that the test's server is accepted with a valid one.
+TEST(PeerAuthenticationTest, MalformedAnswerEndsTheConnection) {
+  using Headers = Http2Socket::Headers;
+  for (const Headers& odd :
+       {Headers{{":status", "000"}}, Headers{{":status", "600"}},
+        Headers{{":status", "20"}}, Headers{{":status", "0200"}},
+        Headers{{":status", "200"}, {"x odd", "1"}},
+        Headers{{":status", "200"}, {"x\x01odd", "1"}},
+        Headers{{":status", "200"}, {"x-odd", "\x01"}},
+        Headers{{":status", "200"}}}) {
+    const bool is_valid = odd == Headers{{":status", "200"}};
+    const int listen_fd = *ListenTcp({"127.0.0.2", 0});
+    PeerTransportSettings settings = MakeTestSettings("a", "127.0.0.1");
+    settings.peers = {{VmId("b"), LocalAddress(listen_fd)}};
+    TestNode a(settings);
+    a.Send("b", "for b only");
+    pollfd entry = {listen_fd, POLLIN, 0};
+    ASSERT_EQ(poll(&entry, 1,
+                   static_cast<int>(absl::ToInt64Milliseconds(kTestLimit))),
+              1);
+    PeerHandshake handshake{VmId("a"), VmId("b"), "", MakePeerNonce()};
+    std::atomic<size_t> body_bytes{0};
+    RawConnection* self = nullptr;
+    std::atomic<bool> started{false};
+    RawConnection server(
+        AcceptTcp(listen_fd), Http2Socket::Side::kServer,
+        {[&](std::string_view name, std::string_view value) {
+           if (name == kPeerNonceHeader) {
+             handshake.client_nonce = value;
+           }
+           return true;
+         },
+         [&] {
+           while (!started) {
+             absl::SleepFor(absl::Milliseconds(1));
+           }
+           Headers headers = odd;
+           headers.emplace_back(kPeerNonceHeader, handshake.server_nonce);
+           headers.emplace_back(
+               kPeerProofHeader,
+               absl::BytesToHexString(ComputePeerProof(
+                   settings.secret, PeerProofSide::kServer, handshake)));
+           return self->socket().SubmitResponse(headers, /*end=*/false);
+         },
+         [&](std::string_view bytes) {
+           body_bytes += bytes.size();
+           return true;
+         },
+         {}},
+        {});
+    self = &server;
+    started = true;
+    EXPECT_TRUE(
+        WaitUntil([&] { return is_valid ? body_bytes > 0 : server.ended(); }));
+    EXPECT_EQ(body_bytes > 0, is_valid) << odd.front().second;
+    close(listen_fd);
+  }
+}
+
 }  // namespace
 }  // namespace camphorsail
