Test: camphorsailctl takes no early answer that is reset for whole

The listener answers 200 without a length while a change of 64 MB is being written, and resets the connection; libcurl fails the call.

--- a/tests/unit/ctl/admin_client_test.cc
+++ b/tests/unit/ctl/admin_client_test.cc
@@ -13,6 +13,7 @@
 
 #include "camphorsail/net/tcp_socket.h"
 #include "gtest/gtest.h"
+#include "tests/fakes/http/answering_listener.h"
 #include "tests/fakes/http/malformed_heads.h"
 
 namespace camphorsail::ctl {
@@ -119,6 +120,19 @@
   }
 }
 
+// Guards against a change shown as made on a part of an answer: the connection
+// is reset behind an answer without a length while the change is still being
+// written.
+TEST(AdminClientTest, EarlyAnswerThatIsResetIsLost) {
+  AnsweringListener listener({"HTTP/1.1 200 OK\r\n\r\n{}"},
+                             AnsweringListener::Manner::kEarlyThenReset);
+  AdminClient client(listener.Url(), "s");
+  const AdminResponse response =
+      client.Call({"POST", "/x", std::string(64 << 20, ' ')});
+  EXPECT_EQ(response.outcome, AdminOutcome::kAnswerLost);
+  EXPECT_EQ(response.status, 0);
+}
+
 // Guards against treating a request that no VM received as possibly executed,
 // or the other way round: only a request that may have been executed is sent
 // again.
