Test of backend connections: idle connections are closed before a request on a new one

The new tests repeated the lines that send on a new connection, and relied on 2 ms for the pool to notice a reset. Now one function closes the idle connections and sends.

--- a/tests/unit/gateway/backend_connection_test.cc
+++ b/tests/unit/gateway/backend_connection_test.cc
@@ -82,19 +82,27 @@
     return WaitFor(*outcome);
   }
 
+  /// Sends a request on a new connection.
+  /// @return The server's end of it; null when the request does not arrive.
+  RawSocket* SendOnNewConnection(Outcome* outcome) {
+    pool_.CloseIdleTo({"127.0.0.1", server_.port()});
+    const size_t before = server_.connection_count();
+    Send(outcome);
+    const bool has_arrived = driver_.RunUntil([&] {
+      return server_.connection_count() > before &&
+             server_.connection(before).Has("/one");
+    });
+    return has_arrived ? &server_.connection(before) : nullptr;
+  }
   /// Sends a request for each answer on a connection of its own and expects
   /// that nothing of the answer is passed on and that its sender learns at once
   /// that it is not valid. The connections stay open.
   void ExpectProtocolFailures(const std::vector<std::string>& answers) {
     for (const std::string& answer : answers) {
       Outcome outcome;
-      const size_t before = server_.connection_count();
-      Send(&outcome);
-      ASSERT_TRUE(driver_.RunUntil([&] {
-        return server_.connection_count() > before &&
-               server_.connection(before).Has("/one");
-      }));
-      server_.connection(before).Write(answer);
+      RawSocket* const server = SendOnNewConnection(&outcome);
+      ASSERT_NE(server, nullptr);
+      server->Write(answer);
       bool is_late = false;
       const EventLoop::TimerId limit = driver_.loop.RunAt(
           driver_.loop.now() + kAtOnce, [&is_late] { is_late = true; });
@@ -105,10 +113,8 @@
       EXPECT_EQ(outcome.failure, BackendFailure::kProtocol) << answer;
       EXPECT_EQ(outcome.status, 0) << answer;
       EXPECT_EQ(outcome.body, "") << answer;
-      server_.connection(before).Reset();
+      server->Reset();
       ASSERT_TRUE(WaitFor(outcome));
-      // The pool may have kept the connection.
-      driver_.RunFor(absl::Milliseconds(2));
     }
   }
 
@@ -318,20 +324,15 @@
   for (const char* status : {"204 No Content", "304 Not Modified"}) {
     for (const char* body : {"", "stray"}) {
       Outcome outcome;
-      const size_t before = server_.connection_count();
-      Send(&outcome);
-      ASSERT_TRUE(driver_.RunUntil([&] {
-        return server_.connection_count() > before &&
-               server_.connection(before).Has("/one");
-      }));
-      server_.connection(before).Write(absl::StrCat(
-          "HTTP/1.1 ", status, "\r\nContent-Length: 5\r\n\r\n", body));
+      RawSocket* const server = SendOnNewConnection(&outcome);
+      ASSERT_NE(server, nullptr);
+      server->Write(absl::StrCat("HTTP/1.1 ", status,
+                                 "\r\nContent-Length: 5\r\n\r\n", body));
       driver_.RunFor(absl::Milliseconds(20));
-      server_.connection(before).Reset();
+      server->Reset();
       ASSERT_TRUE(WaitFor(outcome));
       EXPECT_TRUE(outcome.ended) << status << body;
       EXPECT_EQ(outcome.body, "") << status << body;
-      driver_.RunFor(absl::Milliseconds(2));
     }
   }
 }
