--- a/review/lib-3/stand.py
+++ b/review/lib-3/stand.py
@@ -403,9 +403,6 @@
         self.socket.settimeout(20)
         self.socket.connect(address)
         self.data = b""
-        # A client that reads slowly takes so many bytes at a time, and then waits for so long.
-        self.read_bytes = 65536
-        self.read_wait_s = 0.0
 
     def send(self, path, request_id, deadline_ms=15000, body=b"x", headers=(), method="POST"):
         lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"Request-Id: {request_id}",
@@ -414,9 +411,7 @@
         self.socket.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
     def _more(self):
-        if self.read_wait_s:
-            time.sleep(self.read_wait_s)
-        piece = self.socket.recv(self.read_bytes)
+        piece = self.socket.recv(65536)
         if not piece:
             raise EOFError
         self.data += piece
