--- a/review/lib-3/stand.py
+++ b/review/lib-3/stand.py
@@ -274,6 +274,7 @@
         self.runs = []
         self.lock = threading.Lock()
         self.stopped = threading.Event()
+        self.stopped_pings = False
         self.listener = socket.socket()
         if receive_bytes:
             self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
@@ -294,7 +295,7 @@
                                     first=random.randrange(3))[0]
 
     def _announce(self):
-        while not self.stopped.is_set():
+        while not self.stopped.is_set() and not self.stopped_pings:
             self.beat()
             self.stopped.wait(self.HEARTBEAT_S)
 
