Scheduler: a server knows the pool that it is in

Cause: pools are kept by kind and target, and the pool of a server was looked up by the server's targets. A known server that changes its kind or targets within an incarnation stayed in its old pool, while Retire, UpdateSlots and OnTick changed the pool of the new targets: ServerPool::SetVacant then took the last element of an empty list.

ServerState::pool is now the only record of the membership, and MoveServer the only function that changes it, so that neither can disagree with the lists. A changed server moves; its running requests are still counted on it. The same cause sent requests to a server that no longer answers their target.

--- a/camphorsail/scheduling/scheduler.cc
+++ b/camphorsail/scheduling/scheduler.cc
@@ -127,7 +127,7 @@
       const double load = request.server->Load(now);
       request.server->health.OnTimeRatio(seconds / pool.speed.Median(load));
       pool.speed.OnToken(seconds, load);
-      pool.servers.Update(request.server, now);
+      UpdatePoolOf(request.server, now);
     }
   }
   request.last_token_at = now;
@@ -261,7 +261,7 @@
   }
   for (const auto& [id, server] : servers_) {
     if (server->health.is_outlier()) {
-      target_pools_[server->targets.front()]->servers.Update(server.get(), now);
+      UpdatePoolOf(server.get(), now);
     }
   }
   std::erase_if(retired_, [](const std::unique_ptr<ServerState>& server) {
@@ -425,7 +425,7 @@
   pool->running_work[descriptor.tier.value()] += request->work;
   ++pool->running[descriptor.tier.value()];
   server->OnDispatch(effective_tier, now);
-  pool->servers.Update(server, now);
+  UpdatePoolOf(server, now);
   actions->emplace_back(DispatchAction{
       descriptor.request, request->attempt, server->id, server->incarnation,
       effective_tier.value(),
@@ -489,7 +489,7 @@
   running = std::max(0.0, running - request->work);
   --pool->running[request->descriptor.tier.value()];
   server->OnFinished(request->effective_tier, now);
-  pool->servers.Update(server, now);
+  UpdatePoolOf(server, now);
 }
 
 void Scheduler::Erase(RequestState* request) {
--- a/camphorsail/scheduling/scheduler.h
+++ b/camphorsail/scheduling/scheduler.h
@@ -103,6 +103,13 @@
   void Erase(RequestState* request);
   /// Moves the servers and requests of `from` into `into` and deletes `from`.
   void MergePools(Pool* into, Pool* from, MonoTime now);
+  /// Takes a server out of its pool, if it is in one, and adds it to `to`
+  /// unless that is null. Requests that run on the server stay in the pool in
+  /// which they were accepted.
+  static void MoveServer(ServerState* server, Pool* to, MonoTime now);
+  /// Updates what the server's pool derives from the server's state. Called
+  /// after each change of the server's load, health or slots.
+  static void UpdatePoolOf(ServerState* server, MonoTime now);
   /// Takes a server out of its pool and keeps its state until this VM's
   /// requests on it have ended.
   void Retire(std::unique_ptr<ServerState> server, MonoTime now);
--- a/camphorsail/scheduling/scheduler_servers_and_peers.cc
+++ b/camphorsail/scheduling/scheduler_servers_and_peers.cc
@@ -108,12 +108,16 @@
     slot = std::make_unique<ServerState>(view, settings_.health);
     slot->targets = std::move(targets);
     slot->slots = SlotsOn(*slot);
-    pool->servers.Add(slot.get(), now);
+    MoveServer(slot.get(), pool, now);
   } else {
     slot->ApplyView(view);
     slot->targets = std::move(targets);
     slot->slots = SlotsOn(*slot);
-    pool->servers.Update(slot.get(), now);
+    if (slot->pool == pool) {
+      UpdatePoolOf(slot.get(), now);
+    } else {
+      MoveServer(slot.get(), pool, now);
+    }
   }
   if (view.cache_events_gap) {
     pool->prefixes.OnCacheEventsLost(slot.get(), now);
@@ -135,10 +139,25 @@
   SendDigestIfDue(now, actions);
 }
 
-void Scheduler::Retire(std::unique_ptr<ServerState> server, MonoTime /*now*/) {
-  Pool* pool = target_pools_[server->targets.front()];
-  pool->servers.Remove(server.get());
-  pool->prefixes.RemoveServer(server.get());
+void Scheduler::MoveServer(ServerState* server, Pool* to, MonoTime now) {
+  if (server->pool != nullptr) {
+    server->pool->servers.Remove(server);
+    server->pool->prefixes.RemoveServer(server);
+  }
+  server->pool = to;
+  if (to != nullptr) {
+    to->servers.Add(server, now);
+  }
+}
+
+void Scheduler::UpdatePoolOf(ServerState* server, MonoTime now) {
+  if (server->pool != nullptr) {
+    server->pool->servers.Update(server, now);
+  }
+}
+
+void Scheduler::Retire(std::unique_ptr<ServerState> server, MonoTime now) {
+  MoveServer(server.get(), nullptr, now);
   server->removed = true;
   retired_.push_back(std::move(server));
 }
@@ -147,10 +166,7 @@
   // A server that answers targets of both pools merges them permanently. This
   // happens only when an operator changes the targets of servers.
   while (!from->servers.members().empty()) {
-    ServerState* server = from->servers.members().front();
-    from->servers.Remove(server);
-    from->prefixes.RemoveServer(server);
-    into->servers.Add(server, now);
+    MoveServer(from->servers.members().front(), into, now);
   }
   std::vector<RequestState*> moved;
   for (const auto& [id, request] : requests_) {
@@ -189,7 +205,7 @@
 void Scheduler::UpdateSlots(MonoTime now) {
   for (const auto& [id, server] : servers_) {
     server->slots = SlotsOn(*server);
-    target_pools_[server->targets.front()]->servers.Update(server.get(), now);
+    UpdatePoolOf(server.get(), now);
   }
 }
 
--- a/camphorsail/scheduling/server_state.h
+++ b/camphorsail/scheduling/server_state.h
@@ -14,6 +14,8 @@
 
 namespace camphorsail {
 
+struct Pool;
+
 /// What one VM knows about one incarnation of a backend server. The number of
 /// the VM's own requests on the server is exact; the number of other VMs'
 /// requests is derived from reports that arrive with a delay. Guarded by the
@@ -60,6 +62,9 @@
   FailureDomainId failure_domain;
   /// Dense indexes of the targets that the server answers now.
   std::vector<int> targets;
+  /// The pool that has the server as a member; null when there is none. The
+  /// targets cannot be used to find it, because a server may change them.
+  Pool* pool = nullptr;
   int capacity = 1;
   /// Number of requests that this VM may hold on the server: its part of
   /// `capacity`.
--- a/tests/unit/scheduling/scheduler_test.cc
+++ b/tests/unit/scheduling/scheduler_test.cc
@@ -25,10 +25,12 @@
   void AddServer(const std::string& id,
                  int capacity,
                  uint64_t incarnation = 1,
-                 const std::vector<ModelId>& targets = {ModelId("m")}) {
+                 const std::vector<ModelId>& targets = {ModelId("m")},
+                 ServerKind kind = ServerKind::kModelEngine) {
     ServerView view;
     view.server = BackendServerId(id);
     view.incarnation = Incarnation(incarnation);
+    view.kind = kind;
     view.targets = targets;
     view.capacity = capacity;
     view.reported_at = now_;
@@ -278,6 +280,45 @@
   EXPECT_EQ(dispatched[0].server, BackendServerId("c"));
 }
 
+// Guards against a daemon that ends when a server that has changed its kind
+// within an incarnation leaves, or when another server of its pool leaves.
+TEST_F(SchedulerTest, ServerThatChangedItsKindMayLeave) {
+  AddServer("a", 4);
+  AddServer("b", 4);
+  AddServer("a", 4, 1, {ModelId("m")}, ServerKind::kService);
+  scheduler_->OnServerRemoved(BackendServerId("a"), now_, &actions_);
+  scheduler_->OnServerRemoved(BackendServerId("b"), now_, &actions_);
+  Arrive(Request(0, "plan"));
+  EXPECT_EQ(Take<RefuseAction>().size(), 1U);
+}
+
+// Guards against requests for a target that are sent to a server that no longer
+// answers it, and against a free slot that is counted twice, or not at all,
+// when a request ends on a server that has changed its targets meanwhile.
+TEST_F(SchedulerTest, ServerThatChangedItsTargetsGetsOnlyTheirRequests) {
+  AddServer("a", 1);
+  Arrive(Request(0, "plan"));
+  const auto running = Take<DispatchAction>();
+  ASSERT_EQ(running.size(), 1U);
+  AddServer("a", 1, 1, {ModelId("n")});
+  Arrive(Request(0, "plan"));
+  EXPECT_TRUE(Take<DispatchAction>().empty());
+  EXPECT_EQ(Take<RefuseAction>().size(), 1U);
+
+  RequestDescriptor other = Request(0, "plan");
+  other.target = ModelId("n");
+  Arrive(other);
+  EXPECT_TRUE(Take<DispatchAction>().empty()) << "the only slot is taken";
+  Finish(running[0], AttemptResult::kCompleted);
+  Tick(1.1);
+  const auto next = Take<DispatchAction>();
+  ASSERT_EQ(next.size(), 1U);
+  EXPECT_EQ(next[0].request, other.request);
+  other.request = RequestId(++last_request_);
+  Arrive(other);
+  EXPECT_TRUE(Take<DispatchAction>().empty());
+}
+
 // Guards against settings out of range, such as a number of VMs of zero, which
 // would cause a division by zero.
 TEST(SchedulerSettingsTest, RejectsValuesOutOfRange) {
