Announcements of another sender do not change a server in use

What callers saw: after one announcement under the id of a working server, with a service that no routing table names or with another address, no request reached that server any more, although it went on announcing itself.

Cause: the registry takes the description with the highest sequence number of an incarnation, whoever sent it.

ServerDirectory::Register, for deployments whose routing table names the services, holds an announcement of a service without a name apart until a table names it, so that it reaches neither the scheduler nor other VMs. It refuses one that contradicts what the available server of this incarnation has announced, and one that names no models for the service of model engines. The kind of a server follows from its service. A gateway does not pace servers that it hears of just after the first table with their service, because they may have run for long.

--- a/camphorsail/gateway/backend_fleet.cc
+++ b/camphorsail/gateway/backend_fleet.cc
@@ -14,8 +14,9 @@
 /// Time for which a server that has left is remembered. Announcements are not
 /// delayed for longer.
 constexpr absl::Duration kLeavingMemory = absl::Minutes(10);
-/// Time after the first server within which a gateway hears of all servers that
-/// were running before it: the time after which a silent server counts as gone.
+/// Time after the first server, or after the first routing table with a
+/// service, within which a gateway hears of all servers that were running
+/// before: the time after which a silent server counts as gone.
 constexpr absl::Duration kFirstViewTime = absl::Seconds(3);
 
 }  // namespace
@@ -31,17 +32,22 @@
   }
   for (const ServerView& view : changes.views) {
     if (const ServerEntry* entry = registry.Find(view.server)) {
-      Add(view, entry->announcement, KnowsFleet(now), now);
+      const bool is_new =
+          !view.targets.empty() && KnowsServersOf(view.targets.front(), now);
+      Add(view, entry->announcement, is_new, now);
     }
   }
 }
 
 void BackendFleet::SetServices(const std::vector<ServiceProfile>& services,
                                MonoTime now) {
-  services_.emplace();
+  absl::flat_hash_map<ModelId, MonoTime> named_since;
   for (const ServiceProfile& service : services) {
-    services_->insert(service.name);
+    const bool was_named =
+        services_.has_value() && services_->contains(service.name);
+    named_since[service.name] = was_named ? services_->at(service.name) : now;
   }
+  services_ = std::move(named_since);
   const std::map<BackendServerId, Unnamed> unnamed =
       std::exchange(unnamed_, {});
   for (const auto& [id, server] : unnamed) {
@@ -99,9 +105,16 @@
   }
 }
 
-bool BackendFleet::KnowsFleet(MonoTime now) const {
-  return first_server_at_.has_value() &&
-         now - *first_server_at_ > kFirstViewTime;
+bool BackendFleet::KnowsServersOf(const ModelId& service, MonoTime now) const {
+  if (!first_server_at_.has_value() ||
+      now - *first_server_at_ <= kFirstViewTime) {
+    return false;
+  }
+  if (!services_.has_value()) {
+    return true;
+  }
+  const auto named = services_->find(service);
+  return named == services_->end() || now - named->second > kFirstViewTime;
 }
 
 void BackendFleet::Add(const ServerView& view,
--- a/camphorsail/gateway/backend_fleet.h
+++ b/camphorsail/gateway/backend_fleet.h
@@ -7,7 +7,6 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
-#include "absl/container/flat_hash_set.h"
 #include "camphorsail/base/ids.h"
 #include "camphorsail/base/mono_time.h"
 #include "camphorsail/membership/server_registry.h"
@@ -66,9 +65,10 @@
     ServerAnnouncement announcement;
   };
 
-  /// @return True when the gateway has run for long enough to know all servers
-  /// that were running before, so that a server that it did not know is new.
-  bool KnowsFleet(MonoTime now) const;
+  /// @return True when the gateway, and the routing table with this service,
+  /// have been there for long enough to know all servers that were running
+  /// before, so that a server that the gateway did not know is new.
+  bool KnowsServersOf(const ModelId& service, MonoTime now) const;
   /// @param is_new True for a server that has just started.
   void Add(const ServerView& view,
            const ServerAnnouncement& announcement,
@@ -84,8 +84,9 @@
   /// Servers that were removed after they had said that they are leaving. A
   /// late announcement must not bring them back.
   std::map<BackendServerId, Leaving> leaving_;
-  /// The services of the routing table; nothing before the first one.
-  std::optional<absl::flat_hash_set<ModelId>> services_;
+  /// The services of the routing table, and since when the tables have named
+  /// them; nothing before the first table.
+  std::optional<absl::flat_hash_map<ModelId, MonoTime>> services_;
   std::map<BackendServerId, Unnamed> unnamed_;
   /// When the first server was added.
   std::optional<MonoTime> first_server_at_;
--- a/camphorsail/process/log_schema.h
+++ b/camphorsail/process/log_schema.h
@@ -136,6 +136,10 @@
     {"server_left", LogVolume::kBounded, "A server deregistered itself."},
     {"registration_refused", LogVolume::kBounded,
      "A server's registration was refused."},
+    {"registration_held", LogVolume::kBounded,
+     "A server registered for a service that no routing table names; it is "
+     "used "
+     "once a table does."},
     {"announcement_refused", LogVolume::kBounded,
      "A server's announcement was refused."},
 
--- a/camphorsail/runtime/daemon.cc
+++ b/camphorsail/runtime/daemon.cc
@@ -339,6 +339,7 @@
           .Add("version", table->table.version)
           .Add("routes", table->table.routes.size())
           .Add("accounts", table->table.accounts.size());
+      directory_.SetServices(table->table.services, MonotonicNow());
       gateways_.OnTable(table);
     }
   };
--- a/camphorsail/runtime/daemon.h
+++ b/camphorsail/runtime/daemon.h
@@ -78,8 +78,9 @@
   /// @return The routing table in force; `kQuorumLost` when this VM cannot
   /// confirm which one is in force.
   Expected<Ref<SharedRoutingTable>> GetRouting();
-  /// Processes an announcement of a backend server.
-  /// @return `kOverloaded` when too many servers are known.
+  /// Processes an announcement of a backend server whose service the routing
+  /// table names.
+  /// @return See `ServerDirectory::Register`.
   Expected<void> OnAnnouncement(const ServerAnnouncement& announcement);
   /// Stops sending new requests to a server.
   /// @return `kNotFound` for a server that is not known.
--- a/camphorsail/runtime/daemon_platform.cc
+++ b/camphorsail/runtime/daemon_platform.cc
@@ -57,7 +57,7 @@
 }
 
 Expected<void> Daemon::OnAnnouncement(const ServerAnnouncement& announcement) {
-  return directory_.Announce(announcement, MonotonicNow());
+  return directory_.Register(announcement, MonotonicNow());
 }
 
 Expected<void> Daemon::OnServerLeft(const BackendServerId& server) {
--- a/camphorsail/runtime/server_directory.cc
+++ b/camphorsail/runtime/server_directory.cc
@@ -4,9 +4,22 @@
 #include <set>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "camphorsail/http/json_body.h"
+#include "camphorsail/process/log_event.h"
 
 namespace camphorsail {
+namespace {
+
+/// @return True when both describe the same server. The kind follows from the
+/// configuration of the service, and the capacity may change.
+bool DescribeSameServer(const ServerDescription& a,
+                        const ServerDescription& b) {
+  return a.address == b.address && a.failure_domain == b.failure_domain &&
+         a.targets == b.targets;
+}
+
+}  // namespace
 
 ServerDirectory::ServerDirectory(ServerRegistrySettings settings, Hooks hooks)
     : hooks_(std::move(hooks)), registry_(std::move(settings)) {}
@@ -36,6 +49,112 @@
   return {};
 }
 
+Expected<void> ServerDirectory::Register(const ServerAnnouncement& announcement,
+                                         MonoTime now) {
+  std::optional<ServerAnnouncement> accepted;
+  {
+    absl::MutexLock lock(&mutex_);
+    Expected<std::optional<ServerAnnouncement>> checked =
+        Check(announcement, now);
+    if (!checked) {
+      return tl::unexpected<Error>(checked.error());
+    }
+    accepted = *std::move(checked);
+  }
+  return accepted.has_value() ? Announce(*accepted, now) : Expected<void>();
+}
+
+Expected<std::optional<ServerAnnouncement>> ServerDirectory::Check(
+    const ServerAnnouncement& announcement,
+    MonoTime now) {
+  if (IsWithoutTable(now)) {
+    return announcement;
+  }
+  const ServerDescription& description = announcement.description;
+  const ServerEntry* known = registry_.Find(announcement.server);
+  const bool is_known_incarnation =
+      known != nullptr && known->announcement.version.incarnation ==
+                              announcement.version.incarnation;
+  const bool is_same_server =
+      is_known_incarnation &&
+      DescribeSameServer(known->announcement.description, description);
+  const auto service = engine_services_.find(description.targets.front());
+  if (service == engine_services_.end()) {
+    if (is_same_server) {
+      // Its service is no longer configured. It may come back, and the server
+      // may be leaving.
+      return announcement;
+    }
+    if (announcement.leaving) {
+      held_.Erase(announcement.server);
+      return std::nullopt;
+    }
+    const Expected<bool> is_new = held_.Hold(announcement, now);
+    if (!is_new) {
+      return tl::unexpected<Error>(is_new.error());
+    }
+    if (*is_new) {
+      LogEvent("registration_held", LogLevel::kWarning)
+          .Add("server", announcement.server)
+          .Add("service", description.targets.front());
+    }
+    return std::nullopt;
+  }
+  if (service->second && description.kind != ServerKind::kModelEngine) {
+    return Fail(ErrorKind::kInvalidRequest,
+                absl::StrCat("service ", service->first.value(),
+                             " has model engines, and backend server ",
+                             announcement.server.value(), " names no models"));
+  }
+  if (is_known_incarnation && !is_same_server &&
+      registry_.IsAvailable(announcement.server, now)) {
+    return Fail(
+        ErrorKind::kInvalidRequest,
+        absl::StrCat("backend server ", announcement.server.value(),
+                     " has announced another address, failure domain or "
+                     "service since its start"));
+  }
+  held_.Erase(announcement.server);
+  ServerAnnouncement accepted = announcement;
+  accepted.description.kind =
+      service->second ? ServerKind::kModelEngine : ServerKind::kService;
+  return accepted;
+}
+
+bool ServerDirectory::IsWithoutTable(MonoTime now) {
+  // A VM that starts applies its log within this time if there is a quorum.
+  // Without one, gateways may still use the servers that announce themselves
+  // here.
+  constexpr absl::Duration kTableWait = absl::Seconds(3);
+  if (!first_registration_at_.has_value()) {
+    first_registration_at_ = now;
+  }
+  return !has_table_ && now - *first_registration_at_ >= kTableWait;
+}
+
+void ServerDirectory::SetServices(const std::vector<ServiceProfile>& services,
+                                  MonoTime now) {
+  std::vector<ServerAnnouncement> held;
+  {
+    absl::MutexLock lock(&mutex_);
+    has_table_ = true;
+    engine_services_.clear();
+    for (const ServiceProfile& service : services) {
+      engine_services_[service.name] = service.is_engine;
+    }
+    held = held_.TakeAll(now);
+  }
+  for (const ServerAnnouncement& announcement : held) {
+    if (const Expected<void> accepted = Register(announcement, now);
+        !accepted) {
+      LogEvent("registration_refused", LogLevel::kWarning)
+          .Add("server", announcement.server)
+          .Add("code", GetErrorTraits(accepted.error().kind).code)
+          .Add("message", accepted.error().message);
+    }
+  }
+}
+
 Expected<void> ServerDirectory::Leave(const BackendServerId& server,
                                       MonoTime now) {
   ServerAnnouncement announcement;
--- a/camphorsail/runtime/server_directory.h
+++ b/camphorsail/runtime/server_directory.h
@@ -2,6 +2,8 @@
 #define CAMPHORSAIL_RUNTIME_SERVER_DIRECTORY_H_
 
 #include <functional>
+#include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,7 +15,9 @@
 #include "camphorsail/base/mono_time.h"
 #include "camphorsail/entry/targets_event.h"
 #include "camphorsail/http/backend_address.h"
+#include "camphorsail/membership/held_announcements.h"
 #include "camphorsail/membership/server_registry.h"
+#include "camphorsail/routing/service_profile.h"
 
 namespace camphorsail {
 
@@ -42,6 +46,16 @@
   /// Processes an announcement that is already decoded.
   /// @return Nothing, or `kOverloaded`.
   Expected<void> Announce(const ServerAnnouncement& announcement, MonoTime now);
+  /// Processes an announcement in a deployment whose routing table names the
+  /// services. One of a service that the table does not name is held until a
+  /// table does. A VM that knows no table for long accepts all services.
+  /// @return Nothing; `kInvalidRequest` when the announcement does not fit the
+  /// service, or contradicts what the available server of this incarnation has
+  /// announced, so that another sender has probably used its id; `kOverloaded`.
+  Expected<void> Register(const ServerAnnouncement& announcement, MonoTime now);
+  /// Takes the services of a new routing table.
+  void SetServices(const std::vector<ServiceProfile>& services, MonoTime now);
+
   /// Marks a server as leaving, so that it gets no new requests. This is final
   /// for its incarnation.
   /// @return `kNotFound` for a server that is not known.
@@ -73,12 +87,26 @@
   /// recovered.
   static constexpr absl::Duration kDigestInterval = absl::Seconds(5);
 
+  /// Holds, corrects or refuses an announcement.
+  /// @return The announcement for the registry; nothing when it is held.
+  Expected<std::optional<ServerAnnouncement>> Check(
+      const ServerAnnouncement& announcement,
+      MonoTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  /// @return True when no routing table is known, and has not been for so long
+  /// that there may be no quorum.
+  bool IsWithoutTable(MonoTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void Publish(MonoTime now);
   TargetsEvent CollectTargets() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
   const Hooks hooks_;
   mutable absl::Mutex mutex_;
   ServerRegistry registry_ ABSL_GUARDED_BY(mutex_);
+  /// True once there has been a routing table.
+  bool has_table_ ABSL_GUARDED_BY(mutex_) = false;
+  /// The services of the table, and whether each is a model engine's.
+  std::map<ModelId, bool> engine_services_ ABSL_GUARDED_BY(mutex_);
+  std::optional<MonoTime> first_registration_at_ ABSL_GUARDED_BY(mutex_);
+  HeldAnnouncements held_ ABSL_GUARDED_BY(mutex_);
   MonoTime next_digest_ ABSL_GUARDED_BY(mutex_);
   TargetsEvent targets_ ABSL_GUARDED_BY(mutex_);
 };
--- a/tests/unit/gateway/backend_fleet_test.cc
+++ b/tests/unit/gateway/backend_fleet_test.cc
@@ -79,6 +79,20 @@
   EXPECT_FALSE(IsPaced("b", "other"));
 }
 
+// The control VMs announce these servers only once a table names their service.
+TEST_F(BackendFleetPaceTest, ServersAnnouncedAfterTheirServiceAreNotPaced) {
+  fleet_.SetServices({{.name = ModelId("svc")}}, At(0));
+  Announce("a", 1, "svc", At(0));
+  fleet_.SetServices({{.name = ModelId("svc")}, {.name = ModelId("other")}},
+                     At(20));
+  Announce("b", 1, "other", At(20.1));
+  Announce("c", 1, "svc", At(20.2));
+  Announce("d", 1, "other", At(30));
+  EXPECT_FALSE(IsPaced("b", "other"));
+  EXPECT_TRUE(IsPaced("c"));
+  EXPECT_TRUE(IsPaced("d", "other"));
+}
+
 TEST_F(BackendFleetPaceTest, AnswersToOtherGatewaysEndThePace) {
   Announce("a", 1, "svc", At(0));
   Announce("b", 1, "svc", At(10));
