A departure of a server is committed before it is acknowledged

Cause: the acknowledgement promised what the registry of one process held in memory. A restarted VM took any announcement of an unknown server for news, and a VM that did not know the server kept nothing of its departure, but answered 200.

The VM that is told stops new requests at once, as before. Each replica merges what it applies into its registry, also for servers that it has not heard of, so that late announcements cannot make them available, and gateways learn of it with deltas and digests. The record holds the last description, which makes the digest of a restarted VM equal to that of a gateway that was not restarted. Without a quorum there is no acknowledgement. At most 6 departures occupy workers of a listener, so that a lost quorum does not silence the servers that go on.

The announcements of the product's own interface have the same path.

--- a/camphorsail/control/command.h
+++ b/camphorsail/control/command.h
@@ -13,6 +13,7 @@
 #include "camphorsail/base/ids.h"
 #include "camphorsail/duties/duty_commands.h"
 #include "camphorsail/ledger/ledger_types.h"
+#include "camphorsail/membership/server_departure.h"
 #include "camphorsail/membership/vm_registration.h"
 #include "camphorsail/orders/order_types.h"
 #include "camphorsail/quarantine/quarantine_change.h"
@@ -47,7 +48,8 @@
                                  UsageAgreement,
                                  UsageSettlement,
                                  OrderSettlement,
-                                 OrderHold>;
+                                 OrderHold,
+                                 ServerDeparture>;
 
 /// One command to the replicated state machine, stored as a log entry.
 struct Command {
--- a/camphorsail/control/control_action.h
+++ b/camphorsail/control/control_action.h
@@ -18,6 +18,7 @@
 #include "camphorsail/control/effective_settings.h"
 #include "camphorsail/duties/provider_call.h"
 #include "camphorsail/limits/limit_types.h"
+#include "camphorsail/membership/server_departure.h"
 #include "camphorsail/orders/order_types.h"
 #include "camphorsail/routing/routing_table.h"
 
@@ -117,6 +118,12 @@
   Ref<SharedRoutingTable> table;
 };
 
+/// Backend servers that are leaving, since the previous action of this type.
+/// The first one has all that are recorded.
+struct PublishDeparturesAction {
+  std::vector<DepartureRecord> departures;
+};
+
 /// Write a log line and a timeline event.
 struct ControlTimelineAction {
   /// Kind of the event, such as `leader_changed`.
@@ -137,7 +144,8 @@
                                    ControlTimelineAction,
                                    PublishLimitsAction,
                                    PublishRoutingAction,
-                                   ProviderCallAction>;
+                                   ProviderCallAction,
+                                   PublishDeparturesAction>;
 
 }  // namespace camphorsail
 
--- a/camphorsail/control/control_node.cc
+++ b/camphorsail/control/control_node.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_join.h"
 #include "camphorsail/base/random.h"
 #include "camphorsail/duties/duty_store.h"
+#include "camphorsail/membership/departure_store.h"
 #include "camphorsail/membership/vm_directory.h"
 #include "camphorsail/orders/order_store.h"
 #include "camphorsail/quarantine/quarantine_store.h"
@@ -504,6 +505,12 @@
     published_routing_ = state_.routing();
     actions->push_back(PublishRoutingAction{published_routing_});
   }
+  if (const DepartureStore& departures = state_.departures();
+      departures.version() != published_departures_) {
+    actions->push_back(
+        PublishDeparturesAction{departures.Since(published_departures_)});
+    published_departures_ = departures.version();
+  }
   UpdateRegistered();
   MonoTime lease;
   if (IsRecordedActive() && !leave_deadline_.has_value()) {
--- a/camphorsail/control/control_node.h
+++ b/camphorsail/control/control_node.h
@@ -231,6 +231,8 @@
   bool settings_changed_ = true;
   MonoTime published_lease_;
   Ref<SharedRoutingTable> published_routing_;
+  /// Version of the departures that were last published.
+  uint64_t published_departures_ = 0;
 
   uint64_t next_token_;
   std::map<uint64_t, Submission> submissions_;
--- a/camphorsail/control/control_state.cc
+++ b/camphorsail/control/control_state.cc
@@ -14,6 +14,7 @@
 #include "camphorsail/control/replicated_clock.h"
 #include "camphorsail/duties/duty_store.h"
 #include "camphorsail/ledger/ledger.h"
+#include "camphorsail/membership/departure_store.h"
 #include "camphorsail/membership/vm_directory.h"
 #include "camphorsail/orders/order_store.h"
 #include "camphorsail/quarantine/quarantine_store.h"
@@ -23,16 +24,17 @@
 namespace {
 
 /// Format number of a snapshot, its first field.
-constexpr uint32_t kSnapshotFormat = 4;
+constexpr uint32_t kSnapshotFormat = 5;
 /// Number of fields in a snapshot of format `kSnapshotFormat`. Each earlier
-/// format lacks the last field of the next one: 3 the duties, 2 the quarantine
-/// too, 1 the routing table too. They are still accepted, because disks may
-/// hold them.
-constexpr uint32_t kSnapshotFieldCount = 12;
+/// format lacks the last field of the next one: 4 the departures, 3 the duties
+/// too, 2 the quarantine too, 1 the routing table too. They are still accepted,
+/// because disks may hold them.
+constexpr uint32_t kSnapshotFieldCount = 13;
 /// Positions of these fields.
 constexpr size_t kRoutingField = 9;
 constexpr size_t kQuarantineField = 10;
 constexpr size_t kDutiesField = 11;
+constexpr size_t kDeparturesField = 12;
 
 template <typename T>
 T RestorePart(const msgpack::object& object) {
@@ -63,6 +65,7 @@
   OrderStore orders;
   QuarantineStore quarantine;
   DutyStore duties;
+  DepartureStore departures;
   Ref<SharedRoutingTable> routing = MakeRef<SharedRoutingTable>(RoutingTable());
 
   /// Each overload applies the body of one type of command.
@@ -87,6 +90,9 @@
   void Apply(const QuarantineChange& change,
              int64_t wall_micros,
              CommandResult* result);
+  void Apply(const ServerDeparture& departure,
+             int64_t wall_micros,
+             CommandResult* result);
   template <typename T>
   void Apply(const T& command, int64_t wall_micros, CommandResult* result);
 
@@ -165,6 +171,12 @@
   SetError(quarantine.Apply(change, clock.Now()), result);
 }
 
+void ControlState::Parts::Apply(const ServerDeparture& departure,
+                                int64_t /*wall_micros*/,
+                                CommandResult* /*result*/) {
+  departures.Apply(departure, clock.Now());
+}
+
 template <typename T>
 void ControlState::Parts::Apply(const T& command,
                                 int64_t /*wall_micros*/,
@@ -221,6 +233,7 @@
   packer.pack(parts_->routing->table);
   PackBinary(&packer, parts_->quarantine.Snapshot());
   PackBinary(&packer, parts_->duties.Snapshot());
+  PackBinary(&packer, parts_->departures.Snapshot());
   return std::string(buffer.data(), buffer.size());
 }
 
@@ -255,6 +268,10 @@
     if (parts.size() > kDutiesField) {
       state.parts_->duties = RestorePart<DutyStore>(parts[kDutiesField]);
     }
+    if (parts.size() > kDeparturesField) {
+      state.parts_->departures =
+          RestorePart<DepartureStore>(parts[kDeparturesField]);
+    }
     return state;
   } catch (const std::exception& e) {
     return Fail(ErrorKind::kDataCorrupt,
@@ -331,6 +348,10 @@
   return parts_->duties;
 }
 
+const DepartureStore& ControlState::departures() const {
+  return parts_->departures;
+}
+
 const Ref<SharedRoutingTable>& ControlState::routing() const {
   return parts_->routing;
 }
--- a/camphorsail/control/control_state.h
+++ b/camphorsail/control/control_state.h
@@ -18,6 +18,7 @@
 
 namespace camphorsail {
 
+class DepartureStore;
 class DutyStore;
 class Ledger;
 class MinuteMarks;
@@ -28,10 +29,11 @@
 class VmDirectory;
 
 /// The replicated state machine: settings, ledger, refused minutes, VMs, engine
-/// orders, duties and the routing table. A refused minute is a minute in which
-/// a request of an account's class was refused or failed. The state machine is
-/// deterministic: replicas that apply the same commands in the same order have
-/// the same state. Owned by the control path; not thread-safe.
+/// orders, duties, departures of backend servers and the routing table. A
+/// refused minute is a minute in which a request of an account's class was
+/// refused or failed. The state machine is deterministic: replicas that apply
+/// the same commands in the same order have the same state. Owned by the
+/// control path; not thread-safe.
 class ControlState {
  public:
   ControlState();
@@ -82,6 +84,7 @@
   const OrderStore& orders() const;
   const QuarantineStore& quarantine() const;
   const DutyStore& duties() const;
+  const DepartureStore& departures() const;
   /// @return The routing table in force; a table with version zero before the
   /// first one is committed.
   const Ref<SharedRoutingTable>& routing() const;
--- a/camphorsail/membership/server_registry.cc
+++ b/camphorsail/membership/server_registry.cc
@@ -73,10 +73,7 @@
     case MergeResult::kUnchanged:
       break;
     case MergeResult::kRegistryFull:
-      return Fail(ErrorKind::kOverloaded,
-                  absl::StrCat("backend server ", announcement.server.value(),
-                               " cannot be added: the limit of ",
-                               settings_.capacity, " servers is reached"));
+      return tl::unexpected<Error>(FullError(announcement.server));
     case MergeResult::kDescriptionChanged:
       pending_announcements_.insert(announcement.server);
       pending_loads_.erase(announcement.server);
@@ -99,6 +96,36 @@
   return {};
 }
 
+Error ServerRegistry::FullError(const BackendServerId& server) const {
+  return Error{ErrorKind::kOverloaded,
+               absl::StrCat("backend server ", server.value(),
+                            " cannot be added: the limit of ",
+                            settings_.capacity, " servers is reached"),
+               absl::ZeroDuration()};
+}
+
+Expected<void> ServerRegistry::OnDeparture(const ServerDeparture& departure,
+                                           MonoTime recorded_at,
+                                           MonoTime now) {
+  ServerAnnouncement announcement;
+  announcement.server = departure.server;
+  announcement.version = departure.version;
+  announcement.leaving = true;
+  announcement.description = departure.description;
+  announcement.since_heard_ms = AgeMillis(recorded_at, now);
+  // Digests tell the peers of older departures, of which a VM learns when it
+  // starts. There may be thousands of them.
+  const bool is_recent = now - recorded_at < settings_.silence_limit;
+  const MergeResult result = Merge(announcement, now);
+  if (result == MergeResult::kDescriptionChanged && is_recent) {
+    pending_announcements_.insert(departure.server);
+    pending_loads_.erase(departure.server);
+  }
+  return result == MergeResult::kRegistryFull
+             ? tl::unexpected<Error>(FullError(departure.server))
+             : Expected<void>();
+}
+
 void ServerRegistry::OnDeltas(const ServerDeltaBatch& deltas, MonoTime now) {
   for (const ServerAnnouncement& announcement : deltas.announcements) {
     Merge(announcement, now);
--- a/camphorsail/membership/server_registry.h
+++ b/camphorsail/membership/server_registry.h
@@ -13,6 +13,7 @@
 #include "camphorsail/base/mono_time.h"
 #include "camphorsail/membership/server_announcement.h"
 #include "camphorsail/membership/server_delta.h"
+#include "camphorsail/membership/server_departure.h"
 #include "camphorsail/scheduling/scheduler_types.h"
 
 namespace camphorsail {
@@ -90,6 +91,14 @@
   /// not an error.
   Expected<void> OnAnnouncement(const ServerAnnouncement& announcement,
                                 MonoTime now);
+  /// Merges a departure, also of a server that is not known. The server is not
+  /// available in this incarnation again.
+  /// @param recorded_at When the departure was recorded, on this VM's clock.
+  /// @return `kOverloaded` when the server is not known and the registry is
+  /// full.
+  Expected<void> OnDeparture(const ServerDeparture& departure,
+                             MonoTime recorded_at,
+                             MonoTime now);
   /// Merges updates that a peer forwarded.
   void OnDeltas(const ServerDeltaBatch& deltas, MonoTime now);
 
@@ -153,6 +162,7 @@
     kRegistryFull
   };
 
+  Error FullError(const BackendServerId& server) const;
   /// Merges an announcement into the entry of its server, which is added when
   /// it is missing.
   MergeResult Merge(const ServerAnnouncement& announcement, MonoTime now);
--- a/camphorsail/process/log_schema.h
+++ b/camphorsail/process/log_schema.h
@@ -134,6 +134,9 @@
     {"server_leaving", LogVolume::kBounded,
      "A server announced that it is shutting down."},
     {"server_left", LogVolume::kBounded, "A server deregistered itself."},
+    {"departure_unconfirmed", LogVolume::kBounded,
+     "A server that is leaving got no acknowledgement, because the departure "
+     "was not committed; it gets no new requests all the same."},
     {"registration_refused", LogVolume::kBounded,
      "A server's registration was refused."},
     {"registration_held", LogVolume::kBounded,
--- a/camphorsail/runtime/control_runtime.cc
+++ b/camphorsail/runtime/control_runtime.cc
@@ -297,6 +297,10 @@
   hooks_.publish_routing(action.table);
 }
 
+void ControlRuntime::Execute(const PublishDeparturesAction& action) {
+  hooks_.publish_departures(action);
+}
+
 void ControlRuntime::Execute(const PublishLimitsAction& action) {
   hooks_.publish_limits(action);
 }
--- a/camphorsail/runtime/control_runtime.h
+++ b/camphorsail/runtime/control_runtime.h
@@ -105,6 +105,7 @@
   void Execute(const ControlTimelineAction& action);
   void Execute(const PublishLimitsAction& action);
   void Execute(const PublishRoutingAction& action);
+  void Execute(const PublishDeparturesAction& action);
 
   /// Used on the control thread only.
   std::unique_ptr<ControlNode> node_;
--- a/camphorsail/runtime/control_runtime_hooks.h
+++ b/camphorsail/runtime/control_runtime_hooks.h
@@ -22,6 +22,7 @@
   std::function<void(const ProviderCallAction&)> call_provider;
   std::function<void(const ControlTimelineAction&)> note;
   std::function<void(const Ref<SharedRoutingTable>&)> publish_routing;
+  std::function<void(const PublishDeparturesAction&)> publish_departures;
   /// A write to the disk failed for good. Nothing may be acknowledged any more,
   /// so the process has to stop.
   std::function<void(const Error&)> storage_failed;
--- a/camphorsail/runtime/daemon.cc
+++ b/camphorsail/runtime/daemon.cc
@@ -343,6 +343,9 @@
       gateways_.OnTable(table);
     }
   };
+  hooks.publish_departures = [this](const PublishDeparturesAction& action) {
+    directory_.OnDepartures(action.departures, WallNow(), MonotonicNow());
+  };
   hooks.ledger_answer = [this](const LedgerOpenAnsweredAction& action) {
     entry_->Post(action.request, MakeLedgerAnswer(action));
   };
--- a/camphorsail/runtime/daemon.h
+++ b/camphorsail/runtime/daemon.h
@@ -79,13 +79,14 @@
   /// confirm which one is in force.
   Expected<Ref<SharedRoutingTable>> GetRouting();
   /// Processes an announcement of a backend server whose service the routing
-  /// table names.
-  /// @return See `ServerDirectory::Register`.
+  /// table names. One that says that the server is leaving is committed, see
+  /// `RecordDeparture`.
+  /// @return See `ServerDirectory::Register` and `RecordDeparture`.
   Expected<void> OnAnnouncement(const ServerAnnouncement& announcement);
-  /// Stops sending new requests to a server.
+  /// Stops sending new requests to a server, which need not be known.
   /// @param incarnation See `ServerDirectory::Leave`.
-  /// @return `kNotFound` when this incarnation is not known.
-  Expected<void> OnServerLeft(const BackendServerId& server,
+  /// @return Whether the server was known; errors see `RecordDeparture`.
+  Expected<bool> OnServerLeft(const BackendServerId& server,
                               std::optional<Incarnation> incarnation);
 
   /// Applies the settings that may change while the daemon runs. Must be called
@@ -119,6 +120,16 @@
   RouteTable MakeAnnounceRoutes();
   StreamHandlers MakeCallerHandlers();
   HttpResponse Announce(const HttpRequest& request);
+  /// @param body See `ServerDirectory::Announce`.
+  /// @return See `ServerDirectory::Announce` and `RecordDeparture`.
+  Expected<void> TakeAnnouncement(const std::string& body);
+
+  /// Commits a departure, so that it is known after a restart of all VMs. Only
+  /// then may it be acknowledged: a server that has no acknowledgement repeats
+  /// its message.
+  /// @return `kOverloaded` when too many departures wait, `kQuorumLost` or
+  /// `kOutcomeUnknown`. The server gets no new requests all the same.
+  Expected<void> RecordDeparture(const ServerDeparture& departure);
 
   Expected<void> RequestDrain(const VmId& vm);
   /// Sends a message to a peer. If VMs discover each other through seeds, a VM
@@ -183,6 +194,8 @@
   /// Engines that were last reported to the control path. Used on the tick
   /// thread.
   std::map<BackendServerId, EngineInfo> posted_engines_;
+  /// Calls of `RecordDeparture` in progress.
+  std::atomic<int> departures_in_progress_{0};
   std::atomic<bool> leaving_{false};
   std::atomic<bool> stop_requested_{false};
   std::atomic<bool> stopping_{false};
--- a/camphorsail/runtime/daemon_listeners.cc
+++ b/camphorsail/runtime/daemon_listeners.cc
@@ -10,7 +10,8 @@
 namespace camphorsail {
 namespace {
 
-constexpr int kAnnounceWorkers = 2;
+// Two more than the departures that may wait for a quorum.
+constexpr int kAnnounceWorkers = 8;
 constexpr int kOperatorWorkers = 4;
 constexpr int kMetricsWorkers = 1;
 // The buffer of the header parser must also hold the request line.
@@ -134,15 +135,27 @@
   return handlers;
 }
 
+Expected<void> Daemon::TakeAnnouncement(const std::string& body) {
+  const MonoTime now = MonotonicNow();
+  const Expected<ServerAnnouncement> announcement =
+      directory_.Announce(body, now);
+  if (!announcement) {
+    return tl::unexpected<Error>(announcement.error());
+  }
+  if (!announcement->leaving) {
+    return {};
+  }
+  return RecordDeparture(directory_.Leave(
+      announcement->server, announcement->version.incarnation, now));
+}
+
 HttpResponse Daemon::Announce(const HttpRequest& request) {
   Error error;
   if (!SecretEqual(request.Header("x-camphorsail-secret"),
                    options_.announce_secret)) {
     error = {ErrorKind::kUnauthenticated,
              "the header x-camphorsail-secret is missing or wrong"};
-  } else if (Expected<void> taken =
-                 directory_.Announce(request.body, MonotonicNow());
-             !taken) {
+  } else if (Expected<void> taken = TakeAnnouncement(request.body); !taken) {
     error = taken.error();
   } else {
     HttpResponse response;
--- a/camphorsail/runtime/daemon_platform.cc
+++ b/camphorsail/runtime/daemon_platform.cc
@@ -2,9 +2,12 @@
 #include <utility>
 #include <vector>
 
+#include "absl/cleanup/cleanup.h"
+#include "absl/strings/str_cat.h"
 #include "camphorsail/base/msgpack_bytes.h"
 #include "camphorsail/base/wall_clock.h"
 #include "camphorsail/duties/duty_store.h"
+#include "camphorsail/membership/departure_store.h"
 #include "camphorsail/process/log_event.h"
 #include "camphorsail/runtime/daemon.h"
 
@@ -17,6 +20,10 @@
 // when it connects or when a message is sent to it.
 constexpr absl::Duration kPeerRemovalDelay = absl::Seconds(20);
 constexpr int kPlatformWorkers = 12;
+// Without a quorum, a departure occupies a worker of its listener until the
+// submission times out; the other workers are left to the servers that go on.
+constexpr int kMaxDeparturesInProgress = 6;
+static_assert(kMaxDeparturesInProgress < kPlatformWorkers);
 constexpr absl::Duration kDutyStepInterval = absl::Milliseconds(500);
 
 }  // namespace
@@ -57,12 +64,48 @@
 }
 
 Expected<void> Daemon::OnAnnouncement(const ServerAnnouncement& announcement) {
-  return directory_.Register(announcement, MonotonicNow());
+  const MonoTime now = MonotonicNow();
+  if (Expected<void> accepted = directory_.Register(announcement, now);
+      !accepted || !announcement.leaving) {
+    return accepted;
+  }
+  return RecordDeparture(directory_.Leave(
+      announcement.server, announcement.version.incarnation, now));
 }
 
-Expected<void> Daemon::OnServerLeft(const BackendServerId& server,
+Expected<bool> Daemon::OnServerLeft(const BackendServerId& server,
                                     std::optional<Incarnation> incarnation) {
-  return directory_.Leave(server, incarnation, MonotonicNow());
+  const ServerDeparture departure =
+      directory_.Leave(server, incarnation, MonotonicNow());
+  if (Expected<void> recorded = RecordDeparture(departure); !recorded) {
+    return tl::unexpected<Error>(recorded.error());
+  }
+  return !departure.description.targets.empty();
+}
+
+Expected<void> Daemon::RecordDeparture(const ServerDeparture& departure) {
+  bool is_recorded = false;
+  control_->Inspect([&](const ControlNode& node) {
+    is_recorded = node.state().departures().Covers(
+        departure.server, departure.version.incarnation);
+  });
+  if (is_recorded) {
+    return {};
+  }
+  const absl::Cleanup done = [this] { --departures_in_progress_; };
+  if (++departures_in_progress_ > kMaxDeparturesInProgress) {
+    return Fail(ErrorKind::kOverloaded,
+                absl::StrCat("backend server ", departure.server.value(),
+                             " is leaving; this cannot be confirmed, because ",
+                             kMaxDeparturesInProgress,
+                             " other departures are being committed"));
+  }
+  const Expected<CommandResult> result = control_->Submit(departure);
+  if (!result) {
+    return tl::unexpected<Error>(result.error());
+  }
+  return result->error ? tl::unexpected<Error>(*result->error)
+                       : Expected<void>();
 }
 
 void Daemon::SendTo(const VmId& to, PeerMessage message) {
--- a/camphorsail/runtime/server_directory.cc
+++ b/camphorsail/runtime/server_directory.cc
@@ -1,11 +1,13 @@
 #include "camphorsail/runtime/server_directory.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "camphorsail/http/json_body.h"
+#include "camphorsail/membership/departure_store.h"
 #include "camphorsail/process/log_event.h"
 
 namespace camphorsail {
@@ -24,16 +26,20 @@
 ServerDirectory::ServerDirectory(ServerRegistrySettings settings, Hooks hooks)
     : hooks_(std::move(hooks)), registry_(std::move(settings)) {}
 
-Expected<void> ServerDirectory::Announce(std::string_view body, MonoTime now) {
+Expected<ServerAnnouncement> ServerDirectory::Announce(std::string_view body,
+                                                       MonoTime now) {
   const Expected<nlohmann::json> json = ParseJsonBody(body);
   if (!json) {
     return tl::unexpected<Error>(json.error());
   }
   Expected<ServerAnnouncement> announcement = ParseServerAnnouncement(*json);
   if (!announcement) {
-    return tl::unexpected<Error>(announcement.error());
+    return announcement;
+  }
+  if (Expected<void> taken = Announce(*announcement, now); !taken) {
+    return tl::unexpected<Error>(taken.error());
   }
-  return Announce(*announcement, now);
+  return announcement;
 }
 
 Expected<void> ServerDirectory::Announce(const ServerAnnouncement& announcement,
@@ -155,23 +161,57 @@
   }
 }
 
-Expected<void> ServerDirectory::Leave(const BackendServerId& server,
-                                      std::optional<Incarnation> incarnation,
-                                      MonoTime now) {
-  ServerAnnouncement announcement;
+ServerDeparture ServerDirectory::Leave(const BackendServerId& server,
+                                       std::optional<Incarnation> incarnation,
+                                       MonoTime now) {
+  ServerDeparture departure;
   {
     absl::MutexLock lock(&mutex_);
-    const ServerEntry* entry = registry_.Find(server);
-    if (entry == nullptr ||
-        (incarnation.has_value() &&
-         *incarnation != entry->announcement.version.incarnation)) {
-      return Fail(ErrorKind::kNotFound,
-                  "unknown backend server " + server.value());
+    const ServerEntry* known = registry_.Find(server);
+    const Incarnation known_incarnation =
+        known == nullptr ? Incarnation()
+                         : known->announcement.version.incarnation;
+    if (known != nullptr &&
+        incarnation.value_or(known_incarnation) == known_incarnation) {
+      departure = MakeDeparture(known->announcement);
+    } else {
+      departure.server = server;
+      departure.version.incarnation = incarnation.value_or(Incarnation());
     }
-    announcement = entry->announcement;
+    held_.Erase(server);
+    MergeDeparture(departure, now, now);
+  }
+  Publish(now);
+  return departure;
+}
+
+void ServerDirectory::OnDepartures(const std::vector<DepartureRecord>& records,
+                                   absl::Time wall_now,
+                                   MonoTime now) {
+  {
+    absl::MutexLock lock(&mutex_);
+    for (const DepartureRecord& record : records) {
+      // The clocks of the VMs differ.
+      const absl::Duration age =
+          std::clamp(wall_now - absl::FromUnixMicros(record.recorded_micros),
+                     absl::ZeroDuration(), DepartureStore::kRetention);
+      MergeDeparture(record.departure, now - age, now);
+    }
+  }
+  Publish(now);
+}
+
+void ServerDirectory::MergeDeparture(const ServerDeparture& departure,
+                                     MonoTime recorded_at,
+                                     MonoTime now) {
+  if (const Expected<void> merged =
+          registry_.OnDeparture(departure, recorded_at, now);
+      !merged) {
+    LogEvent("announcement_refused", LogLevel::kWarning)
+        .Add("server", departure.server)
+        .Add("code", GetErrorTraits(merged.error().kind).code)
+        .Add("message", merged.error().message);
   }
-  announcement.leaving = true;
-  return Announce(announcement, now);
 }
 
 void ServerDirectory::RequestDigest() {
--- a/camphorsail/runtime/server_directory.h
+++ b/camphorsail/runtime/server_directory.h
@@ -16,6 +16,7 @@
 #include "camphorsail/entry/targets_event.h"
 #include "camphorsail/http/backend_address.h"
 #include "camphorsail/membership/held_announcements.h"
+#include "camphorsail/membership/server_departure.h"
 #include "camphorsail/membership/server_registry.h"
 #include "camphorsail/routing/service_profile.h"
 
@@ -40,8 +41,8 @@
 
   /// Parses and processes an announcement from a backend server.
   /// @param body JSON as expected by `ParseServerAnnouncement`.
-  /// @return Nothing, or `kInvalidRequest` or `kOverloaded`.
-  Expected<void> Announce(std::string_view body, MonoTime now);
+  /// @return The announcement; `kInvalidRequest` or `kOverloaded`.
+  Expected<ServerAnnouncement> Announce(std::string_view body, MonoTime now);
 
   /// Processes an announcement that is already decoded.
   /// @return Nothing, or `kOverloaded`.
@@ -57,13 +58,17 @@
   void SetServices(const std::vector<ServiceProfile>& services, MonoTime now);
 
   /// Marks a server as leaving, so that it gets no new requests. This is final
-  /// for its incarnation.
+  /// for its incarnation and those before, also if the server is not known.
   /// @param incarnation The incarnation that leaves; without a value the one
-  /// that is known.
-  /// @return `kNotFound` when this incarnation is not known.
-  Expected<void> Leave(const BackendServerId& server,
-                       std::optional<Incarnation> incarnation,
-                       MonoTime now);
+  /// that is known. A server that states none has the incarnation 0.
+  /// @return The departure.
+  ServerDeparture Leave(const BackendServerId& server,
+                        std::optional<Incarnation> incarnation,
+                        MonoTime now);
+  /// Merges departures from the replicated state.
+  void OnDepartures(const std::vector<DepartureRecord>& records,
+                    absl::Time wall_now,
+                    MonoTime now);
 
   /// Makes the next `Tick` send the digest.
   void RequestDigest();
@@ -99,6 +104,9 @@
   /// @return True when no routing table is known, and has not been for so long
   /// that there may be no quorum.
   bool IsWithoutTable(MonoTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void MergeDeparture(const ServerDeparture& departure,
+                      MonoTime recorded_at,
+                      MonoTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void Publish(MonoTime now);
   TargetsEvent CollectTargets() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
--- a/tests/process/announcements_test.py
+++ b/tests/process/announcements_test.py
@@ -1,6 +1,7 @@
-"""Announcements of another sender on the deployed path, as processes."""
+"""Announcements of another sender, and departures of servers across restarts, on the deployed path as processes."""
 
 import json
+import signal
 import sys
 import time
 import unittest
@@ -9,6 +10,8 @@
 
 BINARIES = sys.argv.pop(1)
 CONTROLS = range(1, CONTROL_VMS + 1)
+# A server that is leaving gets no new requests after this time.
+DRAIN_S = 2
 # A silent server counts as gone after this time.
 SILENCE_S = 3
 
@@ -42,16 +45,32 @@
 
     def announce(self, name, only=None, **fields):
         """Sends what a server says of itself. @return Status; 0 when no control VM accepts it."""
-        ping = {"service": "svc", "address": f"127.0.0.1:{self.first.port}", "zone": "z1", "version": "v1", "slots": 8,
-                "state": "ready", "coldLeftMs": 0, "sequence": self.first.sequence + 1, "born": self.first.born}
-        ping.update(fields)
-        body = json.dumps({key: value for key, value in ping.items() if value is not None})
+        announcement = {"service": "svc", "address": f"127.0.0.1:{self.first.port}", "zone": "z1", "version": "v1",
+                        "slots": 8, "state": "ready", "coldLeftMs": 0, "sequence": self.first.sequence + 1,
+                        "born": self.first.born}
+        announcement.update(fields)
+        body = json.dumps({key: value for key, value in announcement.items() if value is not None})
         return self.fleet.control_call("PUT", f"/-/instances/{name}", body, only=only)[0]
 
     def leave(self, server, only=None, born=None):
         body = json.dumps({"sequence": server.sequence + 1, "born": born or server.born})
         return self.fleet.control_call("DELETE", f"/-/instances/{server.name}", body, only=only)[0]
 
+    def restart(self, names):
+        """Kills processes together, and starts them again with their disks."""
+        for name in names:
+            self.fleet.kill(name, signal.SIGKILL)
+        for name in names:
+            self.fleet.wait(name)
+        for name in names:
+            if name.startswith("control"):
+                self.fleet.start_control(int(name[-1]))
+            else:
+                self.fleet.start_gateway(int(name[-1]))
+
+    def restart_core_and_a_gateway(self):
+        self.restart([f"control{i}" for i in CONTROLS] + ["gateway1"])
+
     def assert_no_process_ended(self):
         for name, process in self.fleet.processes.items():
             self.assertIsNone(process.poll(), name)
@@ -83,6 +102,52 @@
 
 
 class DepartureTest(AnnouncementTestCase):
+    def late_announcement(self):
+        """What `first` sent before it left, when it arrives long after that."""
+        self.first.stopped.set()
+        time.sleep(0.6)
+        return {"sequence": self.first.sequence + 1}
+
+    def test_server_that_left_stays_out_after_a_restart(self):
+        # Guards against a late announcement that brings a server back that all restarted VMs have forgotten.
+        late = self.late_announcement()
+        self.assertEqual(self.leave(self.first, only=[1]), 200)
+        self.restart_core_and_a_gateway()
+        self.wait_until_served()
+        self.assertEqual(self.announce("s1", **late), 200)
+        time.sleep(DRAIN_S)
+        self.assertEqual(self.runs_of(self.first), 0)
+
+    def test_draining_server_stays_out_after_a_restart(self):
+        # The same for a server that announced that it is shutting down, and whose later messages are lost.
+        late = self.late_announcement()
+        self.assertEqual(self.announce("s1", state="draining", sequence=self.first.sequence + 2), 200)
+        self.restart_core_and_a_gateway()
+        self.wait_until_served()
+        self.assertEqual(self.announce("s1", **late), 200)
+        time.sleep(DRAIN_S)
+        self.assertEqual(self.runs_of(self.first), 0)
+
+    def test_departure_survives_the_vm_that_acknowledged_it(self):
+        # Guards against an acknowledgement before any other VM knows of the departure.
+        late = self.late_announcement()
+        self.assertEqual(self.leave(self.first, only=[2]), 200)
+        self.fleet.kill("control2", signal.SIGKILL)
+        self.fleet.wait("control2")
+        self.assertEqual(self.announce("s1", only=[1], **late), 200)
+        time.sleep(DRAIN_S)
+        self.assertEqual(self.runs_of(self.first), 0)
+
+    def test_unknown_server_that_leaves_stays_out(self):
+        # Guards against an acknowledged departure that a VM does not keep, because it has not heard of the server.
+        late = self.late_announcement()
+        self.restart_core_and_a_gateway()
+        self.wait_until_served()
+        self.assertEqual(self.leave(self.first), 200)
+        self.assertEqual(self.announce("s1", **late), 200)
+        time.sleep(DRAIN_S)
+        self.assertEqual(self.runs_of(self.first), 0)
+
     def test_departure_of_an_earlier_start_changes_nothing(self):
         # Guards against a late message of an earlier start that takes the present one out of service.
         earlier = self.first.born - 1000
@@ -90,6 +155,19 @@
         time.sleep(1)
         self.assertGreater(self.runs_of(self.first), 0)
 
+    def test_departure_without_a_quorum_is_not_acknowledged(self):
+        # Guards against an acknowledgement of what is lost with the VM that gave it.
+        for i in (2, 3):
+            self.fleet.kill(f"control{i}", signal.SIGKILL)
+            self.fleet.wait(f"control{i}")
+        self.assertEqual(self.leave(self.first, only=[1]), 0)
+        self.first.stopped.set()
+        for i in (2, 3):
+            self.fleet.start_control(i)
+        wait_until("the departure is acknowledged", lambda: self.leave(self.first, only=[1]) == 200)
+        self.wait_until_served()
+        self.assertEqual(self.runs_of(self.first), 0)
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
--- a/tests/unit/runtime/server_directory_test.cc
+++ b/tests/unit/runtime/server_directory_test.cc
@@ -182,10 +182,73 @@
   const BackendServerId server("s");
   NameServices(Services(), At(0));
   ASSERT_TRUE(directory_.Register(MakeAnnouncement("s", 1), At(0)));
-  EXPECT_FALSE(directory_.Leave(server, Incarnation(6), At(1)));
+  EXPECT_EQ(directory_.Leave(server, Incarnation(6), At(1)).version.incarnation,
+            Incarnation(6));
   EXPECT_TRUE(removed_.empty());
-  EXPECT_TRUE(directory_.Leave(server, Incarnation(7), At(2)));
+  const ServerDeparture departure =
+      directory_.Leave(server, Incarnation(7), At(2));
   EXPECT_EQ(removed_, std::vector<BackendServerId>{server});
+  EXPECT_EQ(departure.description.address, "10.0.0.1:80");
+  EXPECT_EQ(departure.version.sequence, AnnouncementSequence(1));
+}
+
+// Guards against requests for a server that has left, when the VM that is told
+// so has just started and has not heard of the server.
+TEST_F(ServerDirectoryTest, UnknownServerThatLeavesStaysOut) {
+  const BackendServerId server("s");
+  NameServices(Services(), At(0));
+  const ServerDeparture departure =
+      directory_.Leave(server, Incarnation(7), At(0));
+  EXPECT_EQ(departure.version.incarnation, Incarnation(7));
+  ASSERT_EQ(deltas_.size(), 1U) << "the other VMs may know the server";
+  EXPECT_TRUE(deltas_[0].announcements.at(0).leaving);
+  EXPECT_TRUE(directory_.Register(MakeAnnouncement("s", 4), At(1)));
+  EXPECT_TRUE(views_.empty());
+  ServerAnnouncement next = MakeAnnouncement("s", 1);
+  next.version.incarnation = Incarnation(8);
+  EXPECT_TRUE(directory_.Register(next, At(2)));
+  EXPECT_EQ(views_.size(), 1U) << "the next start is another server";
+}
+
+// Guards against a late announcement that brings a server back that left before
+// this VM started, and against one that a peer without the departure forwards.
+TEST_F(ServerDirectoryTest, RecordedDeparturesKeepServersOut) {
+  const absl::Time wall = absl::FromUnixSeconds(1'800'000'000);
+  NameServices(Services(), At(0));
+  directory_.OnDepartures({{MakeDeparture(MakeAnnouncement("s", 4)),
+                            absl::ToUnixMicros(wall - absl::Seconds(20)), 1}},
+                          wall, At(0));
+  EXPECT_TRUE(directory_.Register(MakeAnnouncement("s", 3), At(1)));
+  EXPECT_TRUE(directory_.Register(MakeAnnouncement("s", 9), At(2)));
+  ServerDeltaBatch forwarded;
+  forwarded.announcements = {MakeAnnouncement("s", 10)};
+  directory_.OnDeltas(forwarded, At(3));
+  EXPECT_TRUE(views_.empty());
+
+  ASSERT_TRUE(directory_.Register(MakeAnnouncement("t", 1), At(3)));
+  ASSERT_EQ(views_.size(), 1U);
+  directory_.OnDepartures(
+      {{MakeDeparture(MakeAnnouncement("t", 1)), absl::ToUnixMicros(wall), 2}},
+      wall, At(3));
+  EXPECT_EQ(removed_, std::vector<BackendServerId>{BackendServerId("t")})
+      << "a departure that another VM acknowledged";
+}
+
+// Guards against VMs that never agree after a restart, and so send each other
+// their views again and again: a restarted VM must have the digest of one that
+// heard the server itself.
+TEST_F(ServerDirectoryTest, RestartedVmHasTheDigestOfTheOthers) {
+  const absl::Time wall = absl::FromUnixSeconds(1'800'000'000);
+  NameServices(Services(), At(0));
+  ASSERT_TRUE(directory_.Register(MakeAnnouncement("s", 4), At(0)));
+  const ServerDeparture departure =
+      directory_.Leave(BackendServerId("s"), std::nullopt, At(1));
+  ServerDirectory restarted{ServerRegistrySettings(), MakeHooks()};
+  restarted.OnDepartures({{departure, absl::ToUnixMicros(wall), 1}}, wall,
+                         At(5));
+  directory_.Inspect([&](const ServerRegistry& registry) {
+    EXPECT_TRUE(restarted.OnDigest(registry.Digest(), At(5)).empty());
+  });
 }
 
 }  // namespace
