An announcement as leaving for a service without a name takes no server out

What callers would have seen: a working server gets no requests any more after one announcement of another sender under its id, as leaving, with a service that no routing table names. Found by reading the new check: it passed such an announcement over, and the departure was recorded all the same.

A contradiction to what the server of this incarnation has announced is now refused whether the service has a name or not, also for a silent server if it says that the server is leaving.

Evidence, on: ServerDirectoryTest. AnotherSenderDoesNotChangeASilentServer and AnotherSenderDoesNotChangeAServer: Register accepted the announcement ("Actual: true, Expected: false").

--- a/camphorsail/runtime/server_directory.cc
+++ b/camphorsail/runtime/server_directory.cc
@@ -81,12 +81,23 @@
   const bool is_known_incarnation =
       known != nullptr && known->announcement.version.incarnation ==
                               announcement.version.incarnation;
-  const bool is_same_server =
+  // A departure of a server that was not known has no description.
+  const bool is_contradiction =
       is_known_incarnation &&
-      DescribeSameServer(known->announcement.description, description);
+      !known->announcement.description.targets.empty() &&
+      !DescribeSameServer(known->announcement.description, description);
   const auto service = engine_services_.find(description.targets.front());
-  if (service == engine_services_.end()) {
-    if (is_same_server) {
+  const bool is_service_named = service != engine_services_.end();
+  if (is_contradiction && (registry_.IsAvailable(announcement.server, now) ||
+                           (announcement.leaving && !is_service_named))) {
+    return Fail(
+        ErrorKind::kInvalidRequest,
+        absl::StrCat("backend server ", announcement.server.value(),
+                     " has announced another address, failure domain or "
+                     "service since its start"));
+  }
+  if (!is_service_named) {
+    if (is_known_incarnation && !is_contradiction) {
       // Its service is no longer configured. It may come back, and the server
       // may be leaving.
       return announcement;
@@ -112,14 +123,6 @@
                              " has model engines, and backend server ",
                              announcement.server.value(), " names no models"));
   }
-  if (is_known_incarnation && !is_same_server &&
-      registry_.IsAvailable(announcement.server, now)) {
-    return Fail(
-        ErrorKind::kInvalidRequest,
-        absl::StrCat("backend server ", announcement.server.value(),
-                     " has announced another address, failure domain or "
-                     "service since its start"));
-  }
   held_.Erase(announcement.server);
   ServerAnnouncement accepted = announcement;
   accepted.description.kind =
--- a/tests/process/announcements_test.py
+++ b/tests/process/announcements_test.py
@@ -92,6 +92,7 @@
         # Guards against a working server that gets no requests after another sender has used its id.
         for i in CONTROLS:
             self.announce("s1", only=[i], service="none", sequence=1000)
+            self.announce("s1", only=[i], service="none", state="draining", sequence=1000)
             self.announce("s1", only=[i], address="127.0.0.1:9", sequence=1001)
             self.announce("s1", only=[i], service=None, sequence=1002)
             self.announce("s1", only=[i], state="asleep", sequence=1003)
--- a/tests/unit/runtime/server_directory_test.cc
+++ b/tests/unit/runtime/server_directory_test.cc
@@ -89,8 +89,10 @@
   other = MakeAnnouncement("s", 52);
   other.description.failure_domain = FailureDomainId("d2");
   EXPECT_FALSE(directory_.Register(other, At(1)));
-  // Accepted, but not used.
-  EXPECT_TRUE(directory_.Register(MakeAnnouncement("s", 53, "none"), At(1)));
+  other = MakeAnnouncement("s", 53, "none");
+  EXPECT_FALSE(directory_.Register(other, At(1)));
+  other.leaving = true;
+  EXPECT_FALSE(directory_.Register(other, At(1)));
 
   EXPECT_TRUE(directory_.Register(MakeAnnouncement("s", 2), At(1.2)));
   EXPECT_EQ(ServiceOf("s"), "orders");
@@ -121,6 +123,21 @@
   EXPECT_EQ(views_[0].server, BackendServerId("s"));
 }
 
+// The same for a server that has been silent for a while, for example during a
+// partition.
+TEST_F(ServerDirectoryTest, AnotherSenderDoesNotChangeASilentServer) {
+  NameServices(Services(), At(0));
+  ASSERT_TRUE(directory_.Register(MakeAnnouncement("s", 1), At(0)));
+  directory_.Tick(At(4));
+  ServerAnnouncement other = MakeAnnouncement("s", 50, "none");
+  EXPECT_TRUE(directory_.Register(other, At(4))) << "held";
+  other.leaving = true;
+  EXPECT_FALSE(directory_.Register(other, At(4)));
+  views_.clear();
+  EXPECT_TRUE(directory_.Register(MakeAnnouncement("s", 2), At(5)));
+  EXPECT_EQ(ServiceOf("s"), "orders");
+}
+
 // Guards against servers that no gateway hears of, because they announce
 // themselves to a VM that has restarted without a quorum.
 TEST_F(ServerDirectoryTest, ServersAreAcceptedAfterAWaitForTheTable) {
