Servers that leave together wait for each other's commits

What callers saw: in a burst of departures at one control VM, all but six servers were answered 503, although there was a quorum, and repeated their departure about 1 s later.

Cause: the bound of departures that are being committed refused the next one at once.

A departure now waits up to 200 ms for one of the others to end (CommitSlots). Without a quorum, the bound holds as before: six workers wait for the commit, the others are occupied for 200 ms a departure.

--- a/camphorsail/runtime/daemon.h
+++ b/camphorsail/runtime/daemon.h
@@ -18,6 +18,7 @@
 #include "camphorsail/peer/shared_hybrid_clock.h"
 #include "camphorsail/process/metrics.h"
 #include "camphorsail/process/options.h"
+#include "camphorsail/runtime/commit_slots.h"
 #include "camphorsail/runtime/control_runtime.h"
 #include "camphorsail/runtime/duty_feed.h"
 #include "camphorsail/runtime/duty_metrics.h"
@@ -100,6 +101,11 @@
   bool stop_requested() const { return stop_requested_; }
 
  private:
+  /// Without a quorum, a departure occupies a worker of its listener until the
+  /// submission times out; the other workers are left to the servers that go
+  /// on.
+  static constexpr int kMaxDeparturesInProgress = 6;
+
   Daemon(const Options& options, const ProviderDialect& provider);
 
   Expected<void> StartControl();
@@ -194,8 +200,7 @@
   /// Engines that were last reported to the control path. Used on the tick
   /// thread.
   std::map<BackendServerId, EngineInfo> posted_engines_;
-  /// Calls of `RecordDeparture` in progress.
-  std::atomic<int> departures_in_progress_{0};
+  CommitSlots departure_slots_{kMaxDeparturesInProgress};
   std::atomic<bool> leaving_{false};
   std::atomic<bool> stop_requested_{false};
   std::atomic<bool> stopping_{false};
--- a/camphorsail/runtime/daemon_platform.cc
+++ b/camphorsail/runtime/daemon_platform.cc
@@ -20,10 +20,9 @@
 // when it connects or when a message is sent to it.
 constexpr absl::Duration kPeerRemovalDelay = absl::Seconds(20);
 constexpr int kPlatformWorkers = 12;
-// Without a quorum, a departure occupies a worker of its listener until the
-// submission times out; the other workers are left to the servers that go on.
-constexpr int kMaxDeparturesInProgress = 6;
-static_assert(kMaxDeparturesInProgress < kPlatformWorkers);
+// Many commits end within this time if there is a quorum, so that a burst of
+// departures is refused only without one.
+constexpr absl::Duration kDepartureQueueTime = absl::Milliseconds(200);
 constexpr absl::Duration kDutyStepInterval = absl::Milliseconds(500);
 
 }  // namespace
@@ -92,14 +91,14 @@
   if (is_recorded) {
     return {};
   }
-  const absl::Cleanup done = [this] { --departures_in_progress_; };
-  if (++departures_in_progress_ > kMaxDeparturesInProgress) {
+  if (!departure_slots_.Acquire(kDepartureQueueTime)) {
     return Fail(ErrorKind::kOverloaded,
                 absl::StrCat("backend server ", departure.server.value(),
                              " is leaving; this cannot be confirmed, because ",
                              kMaxDeparturesInProgress,
-                             " other departures are being committed"));
+                             " other departures are still being committed"));
   }
+  const absl::Cleanup done = [this] { departure_slots_.Release(); };
   const Expected<CommandResult> result = control_->Submit(departure);
   if (!result) {
     return tl::unexpected<Error>(result.error());
--- a/tests/process/announcements_test.py
+++ b/tests/process/announcements_test.py
@@ -1,5 +1,6 @@
 """Announcements of another sender, and departures of servers across restarts, on the deployed path as processes."""
 
+import concurrent.futures
 import json
 import signal
 import sys
@@ -12,6 +13,7 @@
 CONTROLS = range(1, CONTROL_VMS + 1)
 # A server that is leaving gets no new requests after this time.
 DRAIN_S = 2
+LEAVING_TOGETHER = 40
 # A silent server counts as gone after this time.
 SILENCE_S = 3
 
@@ -149,6 +151,13 @@
         time.sleep(DRAIN_S)
         self.assertEqual(self.runs_of(self.first), 0)
 
+    def test_servers_that_leave_together_are_acknowledged_at_once(self):
+        # Guards against servers that have to repeat a departure, because more leave together than are committed at once.
+        with concurrent.futures.ThreadPoolExecutor(LEAVING_TOGETHER) as pool:
+            answers = list(pool.map(lambda n: self.fleet.control_call("DELETE", f"/-/instances/x{n}", only=[1])[0],
+                                    range(LEAVING_TOGETHER)))
+        self.assertEqual(answers, [200] * LEAVING_TOGETHER)
+
     def test_departure_of_an_earlier_start_changes_nothing(self):
         # Guards against a late message of an earlier start that takes the present one out of service.
         earlier = self.first.born - 1000
